--- /dev/null
+++ b/src/packet.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** \file
+ * \brief Module packet: parsed packets as the core sees them, independent of the wire format.
+ */
+#include "packet/Packet.h"
