Add the instance engine and a cluster of engines for tests in virtual time

Cause: flow, request, admission, plan and membership decide each for themselves; one instance needs them joined, and the invariants need the real core under faults. Change: module engine (control, flow and request paths, relays, actions) and a test cluster with fakes for links, store, upstreams and callers; an observer counts violations from outside.

--- /dev/null
+++ b/src/engine/InstanceEngine.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "engine/Action.h"
+#include "engine/ActiveInstance.h"
+#include "engine/ControlPath.h"
+#include "engine/InstanceIdentity.h"
+#include "engine/RelayGuard.h"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bulrushgap {
+
+struct EngineSettings
+{
+    ActiveInstanceSettings active;
+    ControlSettings control;
+    Duration relayMemory = std::chrono::seconds(30); //!< Longer than any request's deadline.
+};
+
+/** \brief What operators see of one instance. */
+struct EngineStatus
+{
+    PlanId inForce;
+    PlanId newest;
+    std::uint64_t configVersion = 0; //!< Of the plan in force.
+    std::string planner;
+    bool ready = false;
+    bool stale = false;
+    std::size_t flows = 0;
+    std::size_t heldRequests = 0;
+    std::vector<InstanceProgress> instances; //!< The others.
+};
+
+/** \brief All decisions of one instance, without I/O.
+ *
+ * Every entry point takes the present time and appends what has to be done to \a actions.
+ */
+class InstanceEngine
+{
+public:
+    InstanceEngine(InstanceIdentity identity, const EngineSettings &settings, const KeyedHash &hash,
+                   Random &random, Counters &counters, PlanStoreHooks storeHooks);
+
+    InstanceEngine(const InstanceEngine &) = delete;
+    InstanceEngine &operator=(const InstanceEngine &) = delete;
+
+    /** \brief Handles a packet from the fabric. */
+    void onPacket(const Packet &packet, TimePoint now, Actions &actions);
+
+    /** \brief Handles a packet that a peer relayed. */
+    void onRelayedPacket(const RelayHeader &header, const Packet &packet, TimePoint now,
+                         Actions &actions);
+
+    void onPeerUp(const Hello &hello, TimePoint now, Actions &actions);
+    void onPeerMessage(std::string_view peer, const PeerMessage &message, TimePoint now,
+                       Actions &actions);
+
+    void onPlanWritten(std::uint64_t writeId, const WriteResult &result, TimePoint now,
+                       Actions &actions);
+    void onPlanRead(const ReadResult &result, TimePoint now, Actions &actions);
+
+    /** \brief Runs timers; call it every ControlSettings::tick. */
+    void tick(TimePoint now, Actions &actions);
+
+    /** \brief Starts a graceful shutdown. \sa stopped() */
+    void beginStop(TimePoint now);
+
+    /** \returns whether the process may end without cutting a request. */
+    [[nodiscard]] bool stopped(TimePoint now) const;
+
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] EngineStatus status(TimePoint now) const;
+    [[nodiscard]] Hello hello() const;
+    [[nodiscard]] const InstanceIdentity &self() const { return this->identity; }
+    [[nodiscard]] ControlPath &control() { return this->controlPath; }
+    [[nodiscard]] const Plan *planInForce() const;
+
+private:
+    void handle(const Packet &packet, const RelayHeader *header, TimePoint now, Actions &actions);
+    void handleActive(const Packet &packet, const RelayHeader *header, const Plan &plan,
+                      TimePoint now, Actions &actions);
+    void relayToReadyPeer(const Packet &packet, const RelayHeader *header, TimePoint now,
+                          Actions &actions);
+    void onNewestPlan(const Plan &plan);
+    void activate(const PlanInstance &own, const Plan &plan);
+    void onHeartbeat(std::string_view peer, const Heartbeat &heartbeat, TimePoint now,
+                     Actions &actions);
+    void onTransitionMessage(InstanceId from, const PeerMessage &message, TimePoint now);
+    void keepEarly(std::string_view peer, const PeerMessage &message);
+    void replayEarly(TimePoint now);
+    void flushOutbox(Actions &actions);
+    void sendHeartbeats(TimePoint now, Actions &actions);
+    void reportHealth(TimePoint now, Actions &actions);
+    [[nodiscard]] bool listedInPlanInForce() const;
+    [[nodiscard]] std::optional<std::uint64_t> liveBoot(InstanceId id) const;
+
+    InstanceIdentity identity;
+    EngineSettings settings;
+    KeyedHash hash;
+    Random &random;
+    Counters &counters;
+    TimePoint current{}; //!< Time of the call that is being handled.
+    ControlPath controlPath;
+    RelayGuard guard;
+    std::unique_ptr<ActiveInstance> active; //!< Set once a plan lists this boot.
+    FlowRouter::Outbox outbox;
+    /** \brief Transition messages of peers for which the newest plan here has no id yet. */
+    std::deque<std::pair<std::string, PeerMessage>> early;
+    bool stopping = false;
+    std::uint64_t nextRelayId = 1;
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/tests/InstanceEngine.cpp
@@ -0,0 +1,85 @@
+#include "support/EngineCluster.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace bulrushgap;
+using namespace bulrushgap::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+void requireNoViolation(const EngineCluster &cluster)
+{
+    INFO(cluster.report());
+    const auto &violations = cluster.violations;
+    CHECK(violations.movedFlows == 0);
+    CHECK(violations.crossedServices == 0);
+    CHECK(violations.coldOverload == 0);
+    CHECK(violations.slotsExceeded == 0);
+    CHECK(violations.packetsToOutDomain == 0);
+    CHECK(violations.wrongAnswers == 0);
+    CHECK(violations.falseNotRun == 0);
+    CHECK(violations.doubleRuns == 0);
+    CHECK(violations.workWhileDraining == 0);
+    CHECK(violations.revertedPlans == 0);
+    CHECK(cluster.invariantCounters() == 0);
+}
+
+} // namespace
+
+// Guards against a scope that never reaches its first plan or does not serve with it.
+TEST_CASE("a scope starts from nothing and serves", "[InstanceEngine]")
+{
+    const auto seed = GENERATE(1U, 2U, 3U);
+    EngineCluster cluster({.seed = seed});
+    REQUIRE(cluster.converge(10s));
+    // A new scope counts the upstreams' slots as used until the longest deadline has passed.
+    cluster.run(6s);
+    cluster.startTraffic();
+    cluster.run(20s);
+    requireNoViolation(cluster);
+    INFO(cluster.report());
+    const auto &outcomes = cluster.outcomes;
+    CHECK(outcomes.flowPacketsServed > outcomes.flowPackets * 95 / 100);
+    CHECK(outcomes.answered > outcomes.requests * 90 / 100);
+    CHECK(outcomes.bookingsRun > 0);
+}
+
+// Guards against flows that move, and work that reaches a leaving upstream, on planned changes.
+TEST_CASE("planned changes break nothing", "[InstanceEngine]")
+{
+    const auto [name, seed] = GENERATE(table<std::string, unsigned>({
+        {"drain", 11},
+        {"join", 12},
+        {"leave", 13},
+        {"drain and replace", 14},
+        {"takeout", 15},
+    }));
+    INFO(name);
+    EngineCluster cluster({.seed = seed});
+    REQUIRE(cluster.converge(10s));
+    cluster.run(6s);
+    cluster.startTraffic();
+    cluster.run(5s);
+    if (name == "drain" || name == "drain and replace")
+        cluster.labelUpstream(cluster.upstreamName(0, 0, 0), "draining");
+    if (name == "leave" || name == "drain and replace")
+        cluster.stopGracefully(1);
+    if (name == "join") {
+        cluster.stopGracefully(2);
+        cluster.run(20s);
+        INFO(cluster.report());
+        REQUIRE_FALSE(cluster.running(2));
+        cluster.start(2);
+    }
+    if (name == "takeout") {
+        cluster.labelDomain(1, "out");
+        cluster.run(8s);
+        cluster.labelDomain(1, "");
+    }
+    cluster.run(20s);
+    REQUIRE(cluster.converge(5s));
+    requireNoViolation(cluster);
+}
--- /dev/null
+++ b/tests/support/EventQueue.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace bulrushgap::test {
+
+/** \brief Runs callbacks in the order of virtual time. */
+class EventQueue
+{
+public:
+    using Callback = std::function<void()>;
+
+    [[nodiscard]] TimePoint now() const { return this->time; }
+
+    void after(Duration delay, Callback callback)
+    {
+        this->events.emplace(std::pair{this->time + delay, this->sequence++}, std::move(callback));
+    }
+
+    void runFor(Duration duration)
+    {
+        const auto end = this->time + duration;
+        while (!this->events.empty() && this->events.begin()->first.first <= end) {
+            auto node = this->events.extract(this->events.begin());
+            this->time = node.key().first;
+            node.mapped()();
+        }
+        this->time = end;
+    }
+
+private:
+    TimePoint time{std::chrono::seconds(1000)};
+    std::uint64_t sequence = 0;
+    std::map<std::pair<TimePoint, std::uint64_t>, Callback> events;
+};
+
+} // namespace bulrushgap::test
