Add settings, logs, metrics and an HTTP server and client

Cause: every role needs checked settings, a log, metrics and HTTP before it can run. Ruled out: a separate description of the fields for check and reference; both come from one table, so they cannot disagree. Repeating a failed call in the client for writes; only calls marked repeatable are sent again. Change: module service. The client tells a call that was never sent from one whose answer is lost, and drops all idle connections after a time-out.

--- /dev/null
+++ b/src/service.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/** \file
+ * \brief Module service: settings and their check, logs, metrics, HTTP server and client.
+ */
+#include "service/Backoff.h"
+#include "service/Fault.h"
+#include "service/Field.h"
+#include "service/HttpClient.h"
+#include "service/HttpMessage.h"
+#include "service/HttpServer.h"
+#include "service/InstanceSettings.h"
+#include "service/Log.h"
+#include "service/Metrics.h"
+#include "service/SettingsReader.h"
+#include "service/SettingsView.h"
--- /dev/null
+++ b/src/service/Field.cpp
@@ -0,0 +1,160 @@
+#include "service/Field.h"
+
+#include "base/Endpoint.h"
+#include "service/Fault.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+bool isNameCharacter(char character)
+{
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
+           || (character >= '0' && character <= '9') || character == '-' || character == '_'
+           || character == '.';
+}
+
+bool isHexadecimal(char character)
+{
+    return (character >= '0' && character <= '9') || (character >= 'a' && character <= 'f')
+           || (character >= 'A' && character <= 'F');
+}
+
+bool within(const Field &field, std::size_t size)
+{
+    return std::cmp_greater_equal(size, field.minimum) && std::cmp_less_equal(size, field.maximum);
+}
+
+bool isChoice(std::string_view choices, std::string_view word)
+{
+    while (!choices.empty()) {
+        const std::string_view choice = choices.substr(0, choices.find(','));
+        if (choice == word)
+            return true;
+        choices.remove_prefix(std::min(choices.size(), choice.size() + 1));
+    }
+    return false;
+}
+
+bool isEndpoint(const boost::json::value &value)
+{
+    const auto *text = value.if_string();
+    return text != nullptr && Endpoint::parse(std::string_view(*text)).has_value();
+}
+
+bool isValidText(const Field &field, std::string_view text)
+{
+    switch (field.type) {
+    case FieldType::Name:
+        return within(field, text.size()) && std::ranges::all_of(text, isNameCharacter);
+    case FieldType::Secret:
+        return within(field, text.size()) && std::ranges::all_of(text, isHexadecimal);
+    case FieldType::Choice:
+        return isChoice(field.choices, text);
+    default:
+        return within(field, text.size());
+    }
+}
+
+bool isValidInteger(const Field &field, const boost::json::value &value)
+{
+    if (const auto *number = value.if_int64())
+        return *number >= field.minimum && *number <= field.maximum;
+    return false;
+}
+
+bool isValid(const Field &field, const boost::json::value &value)
+{
+    const auto *list = value.if_array();
+    switch (field.type) {
+    case FieldType::Integer:
+        return isValidInteger(field, value);
+    case FieldType::Flag:
+        return value.is_bool();
+    case FieldType::Endpoint:
+        return isEndpoint(value);
+    case FieldType::EndpointList:
+        return list != nullptr && within(field, list->size())
+               && std::ranges::all_of(*list, isEndpoint);
+    case FieldType::Object:
+        return value.is_object();
+    case FieldType::ObjectList:
+        return list != nullptr && within(field, list->size())
+               && std::ranges::all_of(*list, [](const auto &entry) { return entry.is_object(); });
+    default:
+        return value.is_string() && isValidText(field, std::string_view(*value.if_string()));
+    }
+}
+
+/** \returns "LOW to HIGH", or just the number if both are equal. */
+std::string bounds(const Field &field)
+{
+    if (field.minimum == field.maximum)
+        return std::to_string(field.minimum);
+    return std::to_string(field.minimum) + " to " + std::to_string(field.maximum);
+}
+
+std::string choiceList(std::string_view choices)
+{
+    std::string text;
+    for (const char character : choices)
+        text += character == ',' ? std::string(", ") : std::string(1, character);
+    return text;
+}
+
+} // namespace internal
+
+std::string describe(const Field &field)
+{
+    const std::string unit = field.unit.empty() ? "" : " " + std::string(field.unit);
+    switch (field.type) {
+    case FieldType::Name:
+        return "text of " + internal::bounds(field) + " letters, digits, '-', '_' or '.'";
+    case FieldType::Text:
+        return "text of " + internal::bounds(field) + " characters";
+    case FieldType::Integer:
+        return "integer from " + internal::bounds(field) + unit;
+    case FieldType::Flag:
+        return "true or false";
+    case FieldType::Endpoint:
+        return "IPv4 address and port";
+    case FieldType::EndpointList:
+        return "list of " + internal::bounds(field) + " IPv4 addresses with port";
+    case FieldType::Secret:
+        return "text of " + internal::bounds(field) + " hexadecimal digits";
+    case FieldType::Choice:
+        return "one of " + internal::choiceList(field.choices);
+    case FieldType::Object:
+        return "object";
+    case FieldType::ObjectList:
+        return "list of " + internal::bounds(field) + " objects";
+    }
+    return "";
+}
+
+std::optional<std::string> findFault(const Field &field, const boost::json::value &value)
+{
+    if (internal::isValid(field, value))
+        return std::nullopt;
+    // Keys must not reach logs or terminals.
+    if (field.type == FieldType::Secret && value.is_string())
+        return "other text of " + std::to_string(value.if_string()->size()) + " characters";
+    return describeFound(value);
+}
+
+std::string reference(std::span<const Field> fields)
+{
+    std::string text = "| field | expected | default | meaning |\n|---|---|---|---|\n";
+    for (const Field &field : fields) {
+        const std::string standard
+            = field.required() ? "required" : "`" + std::string(field.standard) + "`";
+        text += "| `" + std::string(field.path) + "` | " + describe(field) + " | " + standard
+                + " | " + std::string(field.help) + " |\n";
+    }
+    return text;
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/service/HttpClient.cpp
@@ -0,0 +1,270 @@
+#include "service/HttpClient.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <vector>
+
+namespace bulrushgap {
+
+namespace internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+struct HttpConnection
+{
+    explicit HttpConnection(asio::io_context &context)
+        : stream(context)
+    {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    bool reused = false;
+};
+
+using HttpConnectionPtr = std::shared_ptr<HttpConnection>;
+
+/** \brief A call from its submission to its outcome. */
+struct PendingCall
+{
+    PendingCall(asio::io_context &context, HttpCall call, HttpClient::Handler handler)
+        : call(std::move(call))
+        , handler(std::move(handler))
+        , deadline(Clock::now() + this->call.timeout)
+        , timer(context)
+    {}
+
+    HttpCall call;
+    HttpClient::Handler handler;
+    Clock::time_point deadline;
+    asio::steady_timer timer; //!< Runs while the call is in the queue.
+    HttpConnectionPtr connection;
+    http::request<http::string_body> request;
+    std::optional<http::response_parser<http::string_body>> parser;
+};
+
+using PendingCallPtr = std::shared_ptr<PendingCall>;
+
+struct HttpClientState : std::enable_shared_from_this<HttpClientState>
+{
+    HttpClientState(asio::io_context &context, Endpoint server, HttpClientLimits limits)
+        : context(context)
+        , server(asio::ip::address_v4(server.address), server.port)
+        , host(server.toString())
+        , limits(limits)
+    {}
+
+    void submit(const PendingCallPtr &pending);
+    void start(const PendingCallPtr &pending);
+    void connect(const PendingCallPtr &pending);
+    void write(const PendingCallPtr &pending);
+    void read(const PendingCallPtr &pending);
+    void fail(const PendingCallPtr &pending, error_code error, HttpFailure failure);
+    void complete(const PendingCallPtr &pending);
+    void finish(const PendingCallPtr &pending, HttpOutcome outcome);
+    [[nodiscard]] HttpConnectionPtr takeIdle();
+
+    /** \returns a completion handler that does nothing once the client is destroyed. */
+    template <typename Function>
+    auto guarded(Function function)
+    {
+        return [self = this->shared_from_this(), function](error_code error, auto... ignored) {
+            if (!self->closed)
+                function(error, ignored...);
+        };
+    }
+
+    asio::io_context &context;
+    asio::ip::tcp::endpoint server;
+    std::string host;
+    HttpClientLimits limits;
+    std::vector<HttpConnectionPtr> idle;
+    std::deque<PendingCallPtr> queue;
+    std::vector<PendingCallPtr> active;
+    bool closed = false;
+};
+
+/** \returns whether the server has not closed the connection and sent nothing unasked. */
+bool isUsable(HttpConnection &connection)
+{
+    char byte = 0;
+    error_code error;
+    auto &socket = connection.stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+HttpConnectionPtr HttpClientState::takeIdle()
+{
+    while (!this->idle.empty()) {
+        HttpConnectionPtr connection = std::move(this->idle.back());
+        this->idle.pop_back();
+        if (isUsable(*connection))
+            return connection;
+    }
+    return nullptr;
+}
+
+void HttpClientState::submit(const PendingCallPtr &pending)
+{
+    if (this->active.size() < this->limits.connections) {
+        this->start(pending);
+        return;
+    }
+    if (this->queue.size() >= this->limits.queue) {
+        pending->handler(HttpOutcome{HttpFailure::NotSent, 0, {}, {}});
+        return;
+    }
+    this->queue.push_back(pending);
+    pending->timer.expires_at(pending->deadline);
+    pending->timer.async_wait(this->guarded([this, pending](error_code error) {
+        if (!error && std::erase(this->queue, pending) > 0)
+            pending->handler(HttpOutcome{HttpFailure::NotSent, 0, {}, {}});
+    }));
+}
+
+void HttpClientState::start(const PendingCallPtr &pending)
+{
+    pending->timer.cancel();
+    this->active.push_back(pending);
+    auto &request = pending->request;
+    request.method_string(pending->call.method);
+    request.target(pending->call.target);
+    request.version(11);
+    request.set(http::field::host, this->host);
+    if (pending->call.ifMatch)
+        request.set(http::field::if_match, '"' + *pending->call.ifMatch + '"');
+    if (!pending->call.body.empty())
+        request.set(http::field::content_type, "application/json");
+    request.body() = pending->call.body;
+    request.prepare_payload();
+    pending->connection = this->takeIdle();
+    if (pending->connection)
+        this->write(pending);
+    else
+        this->connect(pending);
+}
+
+void HttpClientState::connect(const PendingCallPtr &pending)
+{
+    pending->connection = std::make_shared<HttpConnection>(this->context);
+    auto &stream = pending->connection->stream;
+    stream.expires_at(pending->deadline);
+    stream.async_connect(this->server, this->guarded([this, pending](error_code error) {
+        if (error) {
+            this->fail(pending, error, HttpFailure::NotSent);
+            return;
+        }
+        error_code ignored;
+        pending->connection->stream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+        this->write(pending);
+    }));
+}
+
+void HttpClientState::write(const PendingCallPtr &pending)
+{
+    auto &connection = *pending->connection;
+    const auto now = Clock::now();
+    const bool early = connection.reused && pending->call.repeatable;
+    connection.stream.expires_at(early ? now + (pending->deadline - now) / 2 : pending->deadline);
+    const auto written = [this, pending](error_code error, std::size_t bytes) {
+        if (error)
+            this->fail(pending, error, bytes == 0 ? HttpFailure::NotSent : HttpFailure::Lost);
+        else
+            this->read(pending);
+    };
+    http::async_write(connection.stream, pending->request, this->guarded(written));
+}
+
+void HttpClientState::read(const PendingCallPtr &pending)
+{
+    auto &connection = *pending->connection;
+    pending->parser.emplace();
+    pending->parser->body_limit(this->limits.bodyBytes);
+    const auto received = [this, pending](error_code error, std::size_t) {
+        if (error)
+            this->fail(pending, error, HttpFailure::Lost);
+        else
+            this->complete(pending);
+    };
+    http::async_read(connection.stream, connection.buffer, *pending->parser,
+                     this->guarded(received));
+}
+
+void HttpClientState::fail(const PendingCallPtr &pending, error_code error, HttpFailure failure)
+{
+    const bool repeat = pending->connection->reused && pending->call.repeatable
+                        && Clock::now() < pending->deadline;
+    pending->connection->stream.close();
+    if (error == beast::error::timeout)
+        this->idle.clear();
+    if (repeat)
+        this->connect(pending);
+    else
+        this->finish(pending, HttpOutcome{failure, 0, {}, {}});
+}
+
+void HttpClientState::complete(const PendingCallPtr &pending)
+{
+    auto response = pending->parser->release();
+    HttpOutcome outcome{HttpFailure::None, response.result_int(), std::move(response.body()), {}};
+    outcome.etag = std::string(response[http::field::etag]);
+    if (response.keep_alive() && pending->connection->buffer.size() == 0) {
+        pending->connection->reused = true;
+        pending->connection->stream.expires_never();
+        this->idle.push_back(pending->connection);
+    }
+    this->finish(pending, std::move(outcome));
+}
+
+void HttpClientState::finish(const PendingCallPtr &pending, HttpOutcome outcome)
+{
+    pending->connection.reset();
+    std::erase(this->active, pending);
+    if (!this->queue.empty()) {
+        const PendingCallPtr next = this->queue.front();
+        this->queue.pop_front();
+        this->start(next);
+    }
+    pending->handler(std::move(outcome));
+}
+
+} // namespace internal
+
+HttpClient::HttpClient(boost::asio::io_context &context, Endpoint server, HttpClientLimits limits)
+    : state(std::make_shared<internal::HttpClientState>(context, server, limits))
+{}
+
+HttpClient::~HttpClient()
+{
+    this->state->closed = true;
+    this->state->idle.clear();
+    this->state->queue.clear();
+    for (const auto &pending : this->state->active)
+        pending->connection->stream.close();
+    this->state->active.clear();
+}
+
+void HttpClient::send(HttpCall call, Handler handler)
+{
+    auto &context = this->state->context;
+    auto pending
+        = std::make_shared<internal::PendingCall>(context, std::move(call), std::move(handler));
+    boost::asio::post(context, [state = this->state, pending] {
+        if (!state->closed)
+            state->submit(pending);
+    });
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/service/HttpServer.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/Endpoint.h"
+#include "service/HttpMessage.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf/result.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace bulrushgap {
+
+struct HttpServerLimits
+{
+    std::size_t headerBytes = 8UL * 1024;
+    std::size_t bodyBytes = 1024UL * 1024 + 1024; //!< Room for a JSON frame around 1 MB values.
+    std::size_t connections = 64;
+    std::chrono::milliseconds idleTimeout{30'000}; //!< From one request to the next.
+    std::chrono::milliseconds writeTimeout{5'000};
+};
+
+namespace internal {
+struct HttpServerState;
+}
+
+/** \brief Small HTTP/1.1 server with a table of routes; runs on the given I/O context only. */
+class HttpServer
+{
+public:
+    HttpServer(boost::asio::io_context &context, Endpoint endpoint, HttpServerLimits limits = {});
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /** \brief Adds a route; in \a pattern "{}" matches one segment and a last "*" the rest.
+     *
+     * An unknown path is answered with 404, a known path with another method with 405.
+     */
+    void route(std::string_view method, std::string_view pattern, HttpHandler handler);
+    void routeAsync(std::string_view method, std::string_view pattern, AsyncHttpHandler handler);
+
+    /** \brief Sets a predicate; while it is false, accepted connections are closed at once. */
+    void admitWhile(std::function<bool()> admit);
+
+    /** \brief Starts to accept. \returns the endpoint in use, or a boost::system::error_code. */
+    [[nodiscard]] boost::leaf::result<Endpoint> start();
+
+    /** \brief Closes the listening socket and all connections. */
+    void stop();
+
+private:
+    std::shared_ptr<internal::HttpServerState> state;
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/service/Log.cpp
@@ -0,0 +1,148 @@
+#include "service/Log.h"
+
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+#include <array>
+#include <memory>
+
+namespace bulrushgap {
+
+namespace internal {
+
+TimePoint steadyNow()
+{
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+}
+
+log4cxx::LevelPtr levelOf(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+        return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+        return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+        return log4cxx::Level::getError();
+    }
+    return log4cxx::Level::getInfo();
+}
+
+void appendQuoted(std::string &line, std::string_view value)
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    line += '"';
+    for (const char character : value) {
+        const auto byte = static_cast<unsigned char>(character);
+        if (character == '"' || character == '\\') {
+            line += '\\';
+            line += character;
+        } else if (byte < 0x20 || byte == 0x7f) {
+            line += "\\x";
+            line += digits[byte >> 4];
+            line += digits[byte & 0xf];
+        } else {
+            line += character;
+        }
+    }
+    line += '"';
+}
+
+void appendValue(std::string &line, std::string_view value)
+{
+    const auto needsQuotes = [](char character) {
+        const auto byte = static_cast<unsigned char>(character);
+        return byte <= 0x20 || byte == 0x7f || character == '"' || character == '='
+               || character == '\\';
+    };
+    bool quoted = value.empty();
+    for (const char character : value)
+        quoted = quoted || needsQuotes(character);
+    if (quoted)
+        appendQuoted(line, value);
+    else
+        line += value;
+}
+
+} // namespace internal
+
+std::string formatLogLine(std::string_view event, LogFields fields)
+{
+    std::string line = "event=";
+    internal::appendValue(line, event);
+    for (const LogField &field : fields) {
+        line += ' ';
+        line += field.key;
+        line += '=';
+        internal::appendValue(line, field.value);
+    }
+    return line;
+}
+
+Log::Log(std::string_view name, LogOptions options)
+    : options(std::move(options))
+{
+    if (!this->options.clock)
+        this->options.clock = internal::steadyNow;
+    if (!this->options.sink) {
+        const log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger(std::string(name));
+        this->options.sink = [logger](LogLevel level, const std::string &line) {
+            logger->log(internal::levelOf(level), line);
+        };
+    }
+}
+
+void Log::configure(std::string_view level)
+{
+    const auto layout = std::make_shared<log4cxx::PatternLayout>(
+        "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} level=%p module=%c %m%n");
+    const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
+        layout, log4cxx::ConsoleAppender::getSystemErr());
+    const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+    root->removeAllAppenders();
+    root->addAppender(appender);
+    root->setLevel(log4cxx::Level::toLevel(std::string(level)));
+}
+
+void Log::write(LogLevel level, std::string_view event, LogFields fields)
+{
+    const TimePoint now = this->options.clock();
+    Window &window = this->windows.try_emplace(std::string(event), Window{now, 0, 0}).first->second;
+    std::string line = formatLogLine(event, fields);
+    if (now - window.start >= std::chrono::seconds(1)) {
+        if (window.suppressed > 0)
+            line += " suppressed=" + std::to_string(window.suppressed);
+        window = Window{now, 0, 0};
+    }
+    if (window.lines == this->options.linesPerSecond) {
+        ++window.suppressed;
+        return;
+    }
+    ++window.lines;
+    this->options.sink(level, line);
+}
+
+void Log::debug(std::string_view event, LogFields fields)
+{
+    this->write(LogLevel::Debug, event, fields);
+}
+
+void Log::info(std::string_view event, LogFields fields)
+{
+    this->write(LogLevel::Info, event, fields);
+}
+
+void Log::warn(std::string_view event, LogFields fields)
+{
+    this->write(LogLevel::Warn, event, fields);
+}
+
+void Log::error(std::string_view event, LogFields fields)
+{
+    this->write(LogLevel::Error, event, fields);
+}
+
+} // namespace bulrushgap
