--- /dev/null
+++ b/src/platform/ObjectWatch.cpp
@@ -0,0 +1,108 @@
+#include "platform/ObjectWatch.h"
+
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+constexpr Duration firstWatchRetry = std::chrono::milliseconds(100);
+constexpr Duration longestWatchRetry = std::chrono::seconds(5);
+
+} // namespace internal
+
+ObjectWatch::ObjectWatch(boost::asio::io_context &context, PlatformClient &client, Random &random,
+                         std::string prefix, UpdateHandler onUpdate, ReachableHandler onReachable)
+    : client(client)
+    , prefix(std::move(prefix))
+    , onUpdate(std::move(onUpdate))
+    , onReachable(std::move(onReachable))
+    , timer(context)
+    , backoff(internal::firstWatchRetry, internal::longestWatchRetry, random)
+{}
+
+ObjectWatch::~ObjectWatch()
+{
+    *this->alive = false;
+}
+
+void ObjectWatch::start(std::optional<std::uint64_t> since)
+{
+    this->revision = since;
+    this->poll();
+}
+
+void ObjectWatch::list()
+{
+    this->client.list(this->prefix, [this, alive = this->alive](ListOutcome outcome) {
+        if (*alive)
+            this->onListed(std::move(outcome));
+    });
+}
+
+void ObjectWatch::poll()
+{
+    if (!this->revision) {
+        this->list();
+        return;
+    }
+    const auto handler = [this, alive = this->alive](WatchOutcome outcome) {
+        if (*alive)
+            this->onPolled(std::move(outcome));
+    };
+    this->client.watch(this->prefix, *this->revision, handler);
+}
+
+void ObjectWatch::onListed(ListOutcome outcome)
+{
+    if (outcome.result != PlatformResult::Ok) {
+        this->retryLater();
+        return;
+    }
+    this->succeeded();
+    WatchUpdate update{true, outcome.revision, {}};
+    for (StoredObject &object : outcome.objects)
+        update.events.push_back(
+            WatchEvent{std::move(object.key), object.version, std::move(object.value)});
+    this->revision = outcome.revision;
+    this->poll();
+    this->onUpdate(update);
+}
+
+void ObjectWatch::onPolled(WatchOutcome outcome)
+{
+    if (outcome.result == PlatformResult::Gone) {
+        this->succeeded();
+        this->revision.reset();
+        this->poll();
+        return;
+    }
+    if (outcome.result != PlatformResult::Ok) {
+        this->retryLater();
+        return;
+    }
+    this->succeeded();
+    this->revision = outcome.revision;
+    this->poll();
+    this->onUpdate(WatchUpdate{false, outcome.revision, std::move(outcome.events)});
+}
+
+void ObjectWatch::succeeded()
+{
+    this->backoff.reset();
+    if (std::exchange(this->reachable, true) != true && this->onReachable)
+        this->onReachable(true);
+}
+
+void ObjectWatch::retryLater()
+{
+    this->timer.expires_after(this->backoff.next());
+    this->timer.async_wait([this, alive = this->alive](boost::system::error_code error) {
+        if (!error && *alive)
+            this->poll();
+    });
+    if (std::exchange(this->reachable, false) != false && this->onReachable)
+        this->onReachable(false);
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/platform/ObjectWatch.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "platform/PlatformClient.h"
+#include "service/Backoff.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace bulrushgap {
+
+/** \brief News of a watch. */
+struct WatchUpdate
+{
+    bool complete = false;          //!< The events are all objects; others do not exist any more.
+    std::uint64_t revision = 0;     //!< Store revision up to which the events are known.
+    std::vector<WatchEvent> events; //!< Empty in an update that only confirms the revision.
+};
+
+/** \brief Follows all objects under a prefix.
+ *
+ * Lists them first, unless it starts at a known revision, then polls for events; lists them again
+ * when the platform's history does not reach back. Failures are retried with backoff and jitter.
+ */
+class ObjectWatch
+{
+public:
+    using UpdateHandler = std::function<void(const WatchUpdate &update)>;
+    using ReachableHandler = std::function<void(bool reachable)>;
+
+    /** \param onReachable called when calls start to fail or to succeed again; may be empty. */
+    ObjectWatch(boost::asio::io_context &context, PlatformClient &client, Random &random,
+                std::string prefix, UpdateHandler onUpdate, ReachableHandler onReachable = {});
+    ~ObjectWatch();
+    ObjectWatch(const ObjectWatch &) = delete;
+    ObjectWatch &operator=(const ObjectWatch &) = delete;
+
+    /** \brief Starts with a list, or with the events after \a since. */
+    void start(std::optional<std::uint64_t> since = std::nullopt);
+
+private:
+    void list();
+    void poll();
+    void onListed(ListOutcome outcome);
+    void onPolled(WatchOutcome outcome);
+    void succeeded();
+    void retryLater();
+
+    PlatformClient &client;
+    std::string prefix;
+    UpdateHandler onUpdate;
+    ReachableHandler onReachable;
+    boost::asio::steady_timer timer;
+    Backoff backoff;
+    std::optional<std::uint64_t> revision;
+    std::optional<bool> reachable;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); //!< Guards pending handlers.
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/platform/PlatformClient.cpp
@@ -0,0 +1,241 @@
+#include "platform/PlatformClient.h"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/url/encode.hpp>
+#include <boost/url/rfc/pchars.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
+
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+std::string encodedKey(std::string_view key)
+{
+    return boost::urls::encode(key, boost::urls::unreserved_chars + '/');
+}
+
+std::uint64_t memberNumber(const boost::json::object &object, std::string_view name)
+{
+    const auto *member = object.if_contains(name);
+    if (member == nullptr || !member->is_int64() || *member->if_int64() < 0)
+        return 0;
+    return static_cast<std::uint64_t>(*member->if_int64());
+}
+
+std::string memberText(const boost::json::object &object, std::string_view name)
+{
+    const auto *member = object.if_contains(name);
+    if (member == nullptr || !member->is_string())
+        return {};
+    return std::string(std::string_view(*member->if_string()));
+}
+
+std::optional<boost::json::value> memberValue(const boost::json::object &object,
+                                              std::string_view name)
+{
+    const auto *member = object.if_contains(name);
+    return member == nullptr || member->is_null() ? std::nullopt
+                                                  : std::optional<boost::json::value>(*member);
+}
+
+/** \brief Meaning of an answer; \a lost is the result if there is no usable answer. */
+PlatformResult resultOf(const HttpOutcome &outcome, PlatformResult lost)
+{
+    if (outcome.failure == HttpFailure::NotSent)
+        return PlatformResult::Unavailable;
+    if (outcome.failure == HttpFailure::Lost)
+        return lost;
+    switch (outcome.status) {
+    case 200:
+        return PlatformResult::Ok;
+    case 404:
+        return PlatformResult::NotFound;
+    case 409:
+        return PlatformResult::Conflict;
+    case 410:
+        return PlatformResult::Gone;
+    case 413:
+        return PlatformResult::TooLarge;
+    case 429:
+        return PlatformResult::TooMany;
+    default:
+        // A server error says nothing about the write.
+        return outcome.status >= 500 ? lost : PlatformResult::Unavailable;
+    }
+}
+
+/** \returns the object of the body; sets \a result to \a lost if a 200 has no JSON object. */
+boost::json::object bodyOf(const HttpOutcome &outcome, PlatformResult lost, PlatformResult &result)
+{
+    boost::system::error_code error;
+    boost::json::value body = boost::json::parse(outcome.body, error);
+    if (!error && body.is_object())
+        return std::move(*body.if_object());
+    if (result == PlatformResult::Ok)
+        result = lost;
+    return {};
+}
+
+StoredObject storedObject(const boost::json::object &object)
+{
+    return StoredObject{memberText(object, "key"), memberNumber(object, "version"),
+                        memberValue(object, "value").value_or(nullptr)};
+}
+
+ListOutcome listOutcome(const HttpOutcome &outcome)
+{
+    ListOutcome list;
+    list.result = resultOf(outcome, PlatformResult::Unavailable);
+    const auto body = bodyOf(outcome, PlatformResult::Unavailable, list.result);
+    list.revision = memberNumber(body, "revision");
+    const auto *objects = body.if_contains("objects");
+    if (objects == nullptr || !objects->is_array())
+        return list;
+    for (const auto &entry : *objects->if_array()) {
+        if (entry.is_object())
+            list.objects.push_back(storedObject(*entry.if_object()));
+    }
+    return list;
+}
+
+WatchOutcome watchOutcome(const HttpOutcome &outcome)
+{
+    WatchOutcome watch;
+    watch.result = resultOf(outcome, PlatformResult::Unavailable);
+    const auto body = bodyOf(outcome, PlatformResult::Unavailable, watch.result);
+    watch.revision = memberNumber(body, "revision");
+    const auto *events = body.if_contains("events");
+    if (events == nullptr || !events->is_array())
+        return watch;
+    for (const auto &entry : *events->if_array()) {
+        const auto *event = entry.if_object();
+        if (event != nullptr)
+            watch.events.push_back(WatchEvent{memberText(*event, "key"),
+                                              memberNumber(*event, "version"),
+                                              memberValue(*event, "value")});
+    }
+    return watch;
+}
+
+} // namespace internal
+
+std::string_view toString(PlatformResult result)
+{
+    switch (result) {
+    case PlatformResult::Ok:
+        return "ok";
+    case PlatformResult::Conflict:
+        return "conflict";
+    case PlatformResult::NotFound:
+        return "not_found";
+    case PlatformResult::Gone:
+        return "gone";
+    case PlatformResult::TooMany:
+        return "too_many";
+    case PlatformResult::TooLarge:
+        return "too_large";
+    case PlatformResult::Unavailable:
+        return "unavailable";
+    case PlatformResult::LostAnswer:
+        return "lost_answer";
+    }
+    return "unknown";
+}
+
+PlatformClient::PlatformClient(boost::asio::io_context &context, Endpoint platform,
+                               Counters &counters, PlatformTimeouts timeouts)
+    : counters(counters)
+    , timeouts(timeouts)
+    , calls(context, platform)
+    , watches(context, platform)
+{}
+
+void PlatformClient::read(std::string target, ListHandler handler)
+{
+    this->counters.add("platform_read");
+    HttpCall call;
+    call.target = std::move(target);
+    call.timeout = this->timeouts.call;
+    call.repeatable = true;
+    this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
+        handler(internal::listOutcome(outcome));
+    });
+}
+
+void PlatformClient::list(std::string_view prefix, ListHandler handler)
+{
+    this->read("/objects?prefix=" + internal::encodedKey(prefix), std::move(handler));
+}
+
+void PlatformClient::instances(ListHandler handler)
+{
+    this->read("/instances", std::move(handler));
+}
+
+void PlatformClient::get(std::string_view key, GetHandler handler)
+{
+    this->counters.add("platform_read");
+    HttpCall call;
+    call.target = "/objects/" + internal::encodedKey(key);
+    call.timeout = this->timeouts.call;
+    call.repeatable = true;
+    this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
+        GetOutcome get;
+        get.result = internal::resultOf(outcome, PlatformResult::Unavailable);
+        const auto body = internal::bodyOf(outcome, PlatformResult::Unavailable, get.result);
+        get.object = internal::storedObject(body);
+        handler(std::move(get));
+    });
+}
+
+void PlatformClient::write(HttpCall call, WriteHandler handler)
+{
+    this->counters.add("platform_write");
+    call.timeout = this->timeouts.call;
+    this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
+        WriteOutcome write;
+        write.result = internal::resultOf(outcome, PlatformResult::LostAnswer);
+        const auto body = internal::bodyOf(outcome, PlatformResult::LostAnswer, write.result);
+        write.version = internal::memberNumber(body, "version");
+        handler(write);
+    });
+}
+
+void PlatformClient::put(std::string_view key, const boost::json::value &value,
+                         std::uint64_t version, WriteHandler handler)
+{
+    HttpCall call;
+    call.method = "PUT";
+    call.target = "/objects/" + internal::encodedKey(key);
+    call.ifMatch = std::to_string(version);
+    call.body = boost::json::serialize(value);
+    this->write(std::move(call), std::move(handler));
+}
+
+void PlatformClient::remove(std::string_view key, std::uint64_t version, WriteHandler handler)
+{
+    HttpCall call;
+    call.method = "DELETE";
+    call.target = "/objects/" + internal::encodedKey(key);
+    call.ifMatch = std::to_string(version);
+    this->write(std::move(call), std::move(handler));
+}
+
+void PlatformClient::watch(std::string_view prefix, std::uint64_t since, WatchHandler handler)
+{
+    constexpr std::chrono::milliseconds answerMargin{2'000};
+    this->counters.add("platform_watch");
+    HttpCall call;
+    call.target = "/watch?prefix=" + internal::encodedKey(prefix)
+                  + "&since=" + std::to_string(since)
+                  + "&timeout=" + std::to_string(this->timeouts.watch.count());
+    call.timeout = this->timeouts.watch + answerMargin;
+    this->watches.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
+        handler(internal::watchOutcome(outcome));
+    });
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/platform/PlatformClient.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "base/Counters.h"
+#include "base/Endpoint.h"
+#include "platform/ObjectStore.h"
+#include "service/HttpClient.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <chrono>
+
+namespace bulrushgap {
+
+struct PlatformTimeouts
+{
+    std::chrono::milliseconds call{2'000};
+    std::chrono::milliseconds watch{20'000}; //!< How long a watch waits for an event.
+};
+
+struct WatchEvent
+{
+    std::string key;
+    std::uint64_t version = 0;
+    std::optional<boost::json::value> value; //!< Nothing if the object was deleted.
+};
+
+struct WatchOutcome
+{
+    PlatformResult result = PlatformResult::Unavailable;
+    std::uint64_t revision = 0;
+    std::vector<WatchEvent> events;
+};
+
+/** \brief Client of the platform's object API.
+ *
+ * Counts its calls as "platform_read", "platform_write" and "platform_watch". Pending handlers are
+ * dropped when the client is destroyed.
+ */
+class PlatformClient : public ObjectStore
+{
+public:
+    using WatchHandler = std::function<void(WatchOutcome outcome)>;
+
+    PlatformClient(boost::asio::io_context &context, Endpoint platform, Counters &counters,
+                   PlatformTimeouts timeouts = {});
+
+    void list(std::string_view prefix, ListHandler handler) override;
+    void get(std::string_view key, GetHandler handler) override;
+    void put(std::string_view key, const boost::json::value &value, std::uint64_t version,
+             WriteHandler handler) override;
+    void remove(std::string_view key, std::uint64_t version, WriteHandler handler) override;
+
+    /** \brief Gets the lagging list of live and leaving instances. */
+    void instances(ListHandler handler);
+
+    /** \brief Waits for events after \a since; one call of the long poll. \sa ObjectWatch */
+    void watch(std::string_view prefix, std::uint64_t since, WatchHandler handler);
+
+private:
+    void read(std::string target, ListHandler handler);
+    void write(HttpCall call, WriteHandler handler);
+
+    Counters &counters;
+    PlatformTimeouts timeouts;
+    HttpClient calls;
+    HttpClient watches; //!< Own connections, so that waiting watches do not delay calls.
+};
+
+} // namespace bulrushgap
--- a/src/service/HttpMessage.h
+++ b/src/service/HttpMessage.h
@@ -42,6 +42,14 @@
     std::string contentType = "application/json";
     std::string etag;  //!< Sent as header ETag unless empty.
     bool drop = false; //!< Closes the connection without an answer; for stand-ins.
+
+    /** \returns a reply that closes the connection without an answer. */
+    [[nodiscard]] static HttpReply dropped()
+    {
+        HttpReply reply;
+        reply.drop = true;
+        return reply;
+    }
 };
 
 /** \brief Sends the reply of a handler; must be called once. */
--- a/src/service/HttpServer.cpp
+++ b/src/service/HttpServer.cpp
@@ -187,7 +187,7 @@
 void onAccepted(const std::shared_ptr<HttpServerState> &state, asio::ip::tcp::socket socket)
 {
     error_code ignored;
-    if (state->sessions.size() >= state->limits.connections || !state->admit()) {
+    if (state->sessions.size() >= state->limits.connections) {
         socket.close(ignored);
         return;
     }
@@ -247,11 +247,6 @@
     this->state->routes.add(method, pattern, std::move(handler));
 }
 
-void HttpServer::admitWhile(std::function<bool()> admit)
-{
-    this->state->admit = std::move(admit);
-}
-
 boost::leaf::result<Endpoint> HttpServer::start()
 {
     namespace tcp = boost::asio::ip;
@@ -285,7 +280,6 @@
         if (const auto open = session.lock())
             open->close();
     }
-    this->state->routes = {};
 }
 
 } // namespace bulrushgap
--- a/src/service/HttpServer.h
+++ b/src/service/HttpServer.h
@@ -8,7 +8,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -44,9 +43,6 @@
     void route(std::string_view method, std::string_view pattern, HttpHandler handler);
     void routeAsync(std::string_view method, std::string_view pattern, AsyncHttpHandler handler);
 
-    /** \brief Sets a predicate; while it is false, accepted connections are closed at once. */
-    void admitWhile(std::function<bool()> admit);
-
     /** \brief Starts to accept. \returns the endpoint in use, or a boost::system::error_code. */
     [[nodiscard]] boost::leaf::result<Endpoint> start();
 
--- /dev/null
+++ b/tests/PlatformClient.cpp
@@ -0,0 +1,180 @@
+#include "Loopback.h"
+#include "platform.h"
+#include "service/HttpRoutes.h"
+
+#include <boost/json.hpp>
+
+using namespace bulrushgap;
+
+namespace {
+
+struct PlatformFixture
+{
+    explicit PlatformFixture(PlatformStandinSettings settings = standinSettings())
+        : standin(context, std::move(settings))
+        , endpoint(startServer(standin))
+        , client(context, endpoint, counters)
+    {}
+
+    WriteOutcome put(std::string_view key, const boost::json::value &value, std::uint64_t version)
+    {
+        return await<WriteOutcome>(this->context, [&](auto handler) {
+            this->client.put(key, value, version, std::move(handler));
+        });
+    }
+
+    GetOutcome get(std::string_view key)
+    {
+        return await<GetOutcome>(this->context,
+                                 [&](auto handler) { this->client.get(key, std::move(handler)); });
+    }
+
+    ListOutcome instances()
+    {
+        return await<ListOutcome>(
+            this->context, [&](auto handler) { this->client.instances(std::move(handler)); });
+    }
+
+    boost::asio::io_context context;
+    Counters counters;
+    Random random{1};
+    PlatformStandin standin;
+    Endpoint endpoint;
+    PlatformClient client;
+};
+
+} // namespace
+
+// Guards against lost updates: a write with an old version must not change the object.
+TEST_CASE("writes are conditional on the version", "[PlatformClient]")
+{
+    PlatformFixture platform;
+    REQUIRE(platform.get("service/a").result == PlatformResult::NotFound);
+    const auto created = platform.put("service/a", {{"n", 1}}, 0);
+    REQUIRE(created.result == PlatformResult::Ok);
+    const auto again = platform.put("service/a", {{"n", 2}}, 0);
+    REQUIRE(again.result == PlatformResult::Conflict);
+    REQUIRE(again.version == created.version);
+    REQUIRE(platform.put("service/a", {{"n", 3}}, created.version).version == created.version + 1);
+    REQUIRE(platform.get("service/a").object.value == boost::json::value{{"n", 3}});
+    const auto removed = await<WriteOutcome>(platform.context, [&](auto handler) {
+        platform.client.remove("service/a", created.version + 1, handler);
+    });
+    REQUIRE(removed.result == PlatformResult::Ok);
+    REQUIRE(platform.get("service/a").result == PlatformResult::NotFound);
+    REQUIRE(platform.counters.value("platform_write") == 4);
+    REQUIRE(platform.counters.value("platform_read") == 3);
+}
+
+// Guards against refusals that look like failures of the platform.
+TEST_CASE("limits of the platform have their own results", "[PlatformClient]")
+{
+    PlatformStandinSettings settings = standinSettings();
+    settings.writesPerSecond = 1;
+    PlatformFixture limited(settings);
+    int tooMany = 0;
+    for (int i = 0; i < 20; ++i)
+        tooMany += limited.put("n" + std::to_string(i), 1, 0).result == PlatformResult::TooMany;
+    REQUIRE(tooMany > 0);
+
+    PlatformFixture platform;
+    const auto size = GENERATE(1'048'580, 1'200'000);
+    const boost::json::value large = boost::json::string(static_cast<std::size_t>(size), 'x');
+    REQUIRE(platform.put("a", large, 0).result == PlatformResult::TooLarge);
+    REQUIRE(platform.get("a").result == PlatformResult::NotFound);
+}
+
+// Guards against a write that is reported as not applied although it took effect.
+TEST_CASE("a lost answer is told apart from an unreachable platform", "[PlatformClient]")
+{
+    PlatformFixture platform;
+    platform.standin.setFaults(PlatformFaults{false, {}, 1});
+    REQUIRE(platform.put("a", 1, 0).result == PlatformResult::LostAnswer);
+    REQUIRE(platform.get("a").object.version == 1);
+    platform.standin.setFaults(PlatformFaults{true, {}, 0});
+    REQUIRE(platform.get("a").result == PlatformResult::Unavailable);
+    REQUIRE(platform.put("a", 2, 1).result == PlatformResult::LostAnswer);
+    platform.standin.setFaults({});
+    REQUIRE(platform.get("a").object.version == 1);
+
+    HttpServer unused(platform.context, Endpoint{0x7f000001, 0});
+    const Endpoint closed = startServer(unused);
+    unused.stop();
+    PlatformClient unreachable(platform.context, closed, platform.counters);
+    const auto refused = await<WriteOutcome>(
+        platform.context, [&](auto handler) { unreachable.put("a", 1, 0, std::move(handler)); });
+    REQUIRE(refused.result == PlatformResult::Unavailable);
+}
+
+// Guards against events that are missed after an outage, or after the history was cut off.
+TEST_CASE("a watch resumes after an outage and lists again after 410", "[PlatformClient]")
+{
+    PlatformStandinSettings settings = standinSettings();
+    settings.historyLimit = 2;
+    settings.objects = {{"service/a", 1}, {"other/b", 1}};
+    PlatformFixture platform(settings);
+    std::vector<WatchUpdate> updates;
+    std::vector<bool> reachable;
+    ObjectWatch watch(
+        platform.context, platform.client, platform.random, "service/",
+        [&](const WatchUpdate &update) { updates.push_back(update); },
+        [&](bool now) { reachable.push_back(now); });
+    watch.start();
+    REQUIRE(runUntil(platform.context, [&] { return updates.size() == 1; }));
+    REQUIRE(updates[0].complete);
+    REQUIRE(updates[0].events.size() == 1);
+
+    platform.put("other/b", 2, 2);
+    platform.put("service/a", 2, 1);
+    REQUIRE(runUntil(platform.context, [&] { return updates.size() == 2; }));
+    REQUIRE_FALSE(updates[1].complete);
+    REQUIRE(updates[1].events.at(0).version == 4);
+
+    platform.standin.setFaults(PlatformFaults{true, {}, 0});
+    REQUIRE(runUntil(platform.context, [&] { return reachable.size() == 2; }));
+    platform.standin.setFaults({});
+    for (int i = 0; i < 3; ++i)
+        platform.put("service/new" + std::to_string(i), i, 0);
+    REQUIRE(runUntil(platform.context, [&] { return updates.back().revision == 7; }));
+    REQUIRE(updates.back().complete);
+    REQUIRE(updates.back().events.size() == 4);
+    REQUIRE(reachable == std::vector<bool>{true, false, true});
+}
+
+// Guards against users of the instance list that take it for current.
+TEST_CASE("the list of instances lags", "[PlatformClient]")
+{
+    PlatformStandinSettings settings = standinSettings();
+    settings.instanceLag = std::chrono::milliseconds(300);
+    settings.objects = {{"instance/a", {{"state", "live"}}}};
+    PlatformFixture platform(settings);
+    REQUIRE(platform.put("instance/a", {{"state", "leaving"}}, 1).result == PlatformResult::Ok);
+    const auto isState = [&](std::string_view state) {
+        const auto list = platform.instances();
+        return list.objects.size() == 1
+               && list.objects[0].value == boost::json::value{{"state", state}};
+    };
+    REQUIRE(isState("live"));
+    REQUIRE(runUntil(platform.context, [&] { return isState("leaving"); }));
+}
+
+// Guards against idle connections that go silent: the first call after it must still succeed.
+TEST_CASE("reads are repeated on a new connection", "[PlatformClient]")
+{
+    PlatformFixture platform;
+    REQUIRE(platform.get("a").result == PlatformResult::NotFound);
+    int calls = 0;
+    HttpServer server(platform.context, Endpoint{0x7f000001, 0});
+    server.routeAsync("GET", "/objects/*", [&](const auto &, const HttpResponder &respond) {
+        if (++calls != 2)
+            respond(errorReply(404, "none"));
+    });
+    PlatformClient client(platform.context, startServer(server), platform.counters,
+                          PlatformTimeouts{std::chrono::milliseconds(400), {}});
+    for (int i = 0; i < 2; ++i) {
+        const auto outcome = await<GetOutcome>(
+            platform.context, [&](auto handler) { client.get("a", std::move(handler)); });
+        REQUIRE(outcome.result == PlatformResult::NotFound);
+    }
+    REQUIRE(calls == 3);
+}
