--- /dev/null
+++ b/src/app/SettingsKinds.cpp
@@ -0,0 +1,21 @@
+#include "app/SettingsKinds.h"
+
+#include "service/InstanceSettings.h"
+#include "standin/PlatformStandin.h"
+
+#include <array>
+
+namespace bulrushgap {
+
+// clang-format off
+std::span<const SettingsKind> settingsKinds()
+{
+    static const std::array table{
+        SettingsKind{"instance", InstanceSettings::reader},
+        SettingsKind{"platform", PlatformStandinSettings::reader},
+    };
+    return table;
+}
+// clang-format on
+
+} // namespace bulrushgap
