--- a/src/engine/ControlPath.cpp
+++ b/src/engine/ControlPath.cpp
@@ -24,6 +24,16 @@
              counters, random)
 {}
 
+bool ControlPath::acceptsHello(const Hello &hello) const
+{
+    const auto *listed = this->newestPlan().instance(hello.instance);
+    // A new boot may have moved; the same boot cannot.
+    if (listed == nullptr || listed->bootId != hello.bootId)
+        return true;
+    const auto *domain = this->newestPlan().domain(listed->domain);
+    return domain == nullptr || domain->name == hello.domain;
+}
+
 void ControlPath::onHello(const Hello &hello, TimePoint now, Actions &actions)
 {
     this->peerTable.onHello(hello, now);
--- a/src/engine/ControlPath.h
+++ b/src/engine/ControlPath.h
@@ -45,6 +45,9 @@
                 const KeyedHash &hash, Random &random, Counters &counters, PlanStoreHooks hooks,
                 OnPlan onPlan);
 
+    /** \returns whether the plan agrees with the failure domain that a peer claims. */
+    [[nodiscard]] bool acceptsHello(const Hello &hello) const;
+
     void onHello(const Hello &hello, TimePoint now, Actions &actions);
     void onMessage(std::string_view peer, TimePoint now);
     void onHeartbeat(std::string_view peer, const Heartbeat &heartbeat, TimePoint now,
--- a/src/engine/InstanceEngine.cpp
+++ b/src/engine/InstanceEngine.cpp
@@ -350,6 +350,7 @@
         status.configVersion = plan->configVersion;
     }
     status.newest = this->controlPath.newestPlan().id;
+    status.newestConfigVersion = this->controlPath.newestPlan().configVersion;
     status.planner = this->controlPath.plannerName(now).value_or("");
     status.ready = this->ready();
     status.stale = this->controlPath.stale();
--- a/src/engine/InstanceEngine.h
+++ b/src/engine/InstanceEngine.h
@@ -27,7 +27,8 @@
 {
     PlanId inForce;
     PlanId newest;
-    std::uint64_t configVersion = 0; //!< Of the plan in force.
+    std::uint64_t configVersion = 0;       //!< Of the plan in force.
+    std::uint64_t newestConfigVersion = 0; //!< Of the newest plan.
     std::string planner;
     bool ready = false;
     bool stale = false;
--- /dev/null
+++ b/src/role/DataSocket.cpp
@@ -0,0 +1,76 @@
+#include "role/DataSocket.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+constexpr std::size_t largestDatagram = 65'536;
+/** \brief Datagrams handled before other events get their turn. */
+constexpr int datagramsPerWake = 64;
+/** \brief Room for bursts of the fabric while timers and peers are served. */
+constexpr int receiveBufferBytes = 4 * 1024 * 1024;
+
+boost::asio::ip::udp::endpoint toUdp(Endpoint endpoint)
+{
+    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
+} // namespace internal
+
+DataSocket::DataSocket(boost::asio::io_context &context, Endpoint address, Counters &counters,
+                       OnDatagram onDatagram)
+    : socket(context, internal::toUdp(address))
+    , counters(counters)
+    , onDatagram(std::move(onDatagram))
+    , buffer(internal::largestDatagram)
+{
+    this->socket.non_blocking(true);
+    boost::system::error_code ignored;
+    this->socket.set_option(
+        boost::asio::socket_base::receive_buffer_size(internal::receiveBufferBytes), ignored);
+    this->wait();
+}
+
+void DataSocket::wait()
+{
+    this->socket.async_wait(boost::asio::ip::udp::socket::wait_read,
+                            [this](boost::system::error_code error) {
+                                if (error)
+                                    return;
+                                this->receive();
+                                this->wait();
+                            });
+}
+
+void DataSocket::receive()
+{
+    for (int i = 0; i < internal::datagramsPerWake; ++i) {
+        boost::system::error_code error;
+        boost::asio::ip::udp::endpoint sender;
+        const auto size
+            = this->socket.receive_from(boost::asio::buffer(this->buffer), sender, 0, error);
+        if (error == boost::asio::error::would_block)
+            return;
+        // The kernel reports that an earlier datagram found no receiver.
+        if (error) {
+            this->counters.add("data_receive_error");
+            continue;
+        }
+        this->onDatagram(std::span(this->buffer).first(size));
+    }
+}
+
+void DataSocket::send(Endpoint receiver, std::span<const std::byte> datagram)
+{
+    boost::system::error_code error;
+    this->socket.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
+                         internal::toUdp(receiver), 0, error);
+    if (error)
+        this->counters.add("data_send_dropped");
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/role/InstanceCommand.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+namespace bulrushgap {
+
+/** \brief Runs `bulrushgap instance --settings FILE`. \returns the exit code. */
+int runInstance(std::span<const std::string> arguments);
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/role/ObjectValidation.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "admin/AdminTypes.h"
+#include "service/Fault.h"
+
+#include <boost/json/value.hpp>
+
+#include <vector>
+
+namespace bulrushgap {
+
+/** \brief Checks the value of an operator's object by the decoders that the planner uses.
+ *  \returns every fault; none if the value is valid
+ */
+[[nodiscard]] std::vector<Fault> validateObject(ObjectKind kind, const boost::json::value &value);
+
+} // namespace bulrushgap
