--- /dev/null
+++ b/src/request/TicketIssuer.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "request/Ticket.h"
+
+#include <array>
+#include <optional>
+#include <span>
+
+namespace bulrushgap {
+
+/** \brief Key of the ticket MAC; all instances of a deployment have the same. */
+using TicketKey = std::array<std::byte, 32>;
+
+struct TicketSettings
+{
+    TicketKey key{};
+    std::optional<TicketKey> previousKey;  //!< Still accepted while keys are rotated.
+    Duration validity{10'000'000};         //!< From issue to expiry.
+    Duration recordRetention{120'000'000}; //!< Ledger records outlive the expiry by this.
+};
+
+enum class TicketStatus {
+    Valid,
+    Invalid,         //!< Size, MAC, request or service is wrong.
+    ForeignIssuer,   //!< Relay to the issuer; only it can judge the expiry.
+    IssuerRestarted, //!< Issued by an earlier boot of this instance: the request may have run.
+    Expired,         //!< Without a ledger record, the request was not run.
+    Forgotten,       //!< Expired so long ago that a record may be gone: it may have run.
+};
+
+struct TicketCheck
+{
+    TicketStatus status = TicketStatus::Invalid;
+    Ticket ticket; //!< Only meaningful unless the status is Invalid.
+};
+
+/** \brief Issues and verifies tickets of this boot of this instance. */
+class TicketIssuer
+{
+public:
+    TicketIssuer(InstanceId self, std::uint64_t bootId, const TicketSettings &settings,
+                 Random &random)
+        : self(self)
+        , bootId(bootId)
+        , settings(settings)
+        , random(random)
+    {}
+
+    /** \returns a ticket for the request, valid from \a now on. */
+    [[nodiscard]] TicketBytes issue(const TicketBinding &binding, ServiceId service, TimePoint now);
+
+    /** \returns the status of a ticket that came with the request \a binding. */
+    [[nodiscard]] TicketCheck verify(std::span<const std::byte> bytes, const TicketBinding &binding,
+                                     ServiceId service, TimePoint now) const;
+
+    /** \returns until when the ledger keeps the record of a request with \a ticket. */
+    [[nodiscard]] TimePoint recordEnd(const Ticket &ticket) const
+    {
+        return ticket.expiry + this->settings.recordRetention;
+    }
+
+private:
+    [[nodiscard]] bool authentic(std::span<const std::byte> bytes,
+                                 const TicketBinding &binding) const;
+
+    InstanceId self;
+    std::uint64_t bootId;
+    TicketSettings settings;
+    Random &random;
+};
+
+} // namespace bulrushgap
