Add admission control

Cause: several instances that each limit an upstream by their own count overload it, a cold one at once. Ruled out: counting a timed-out attempt's slot as free, because the upstream may work on it until the deadline; one slow answer restarting the ramp, because service times with a long tail would keep upstreams cold; relays of retries whose earlier attempt may have run, because the receiver would call them not run. Change: module admission. One slow or failed answer, a new owner and idle time lower the limit to 1 without a change of weight; two faults or a cold report restart the ramp. A new owner without handed-over counts treats all slots as used until maximalDeadline. Owners without advertised free slots still get a share of the waiting requests, weighted by their slots. Conclusion: tables of decisions, verdicts, takeovers and reports pass.

--- /dev/null
+++ b/src/admission/AdmissionController.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "admission/AdmissionEvent.h"
+#include "admission/AdmissionRequest.h"
+#include "admission/AdmissionSettings.h"
+#include "admission/DeadlineQueue.h"
+#include "admission/LatencyEstimate.h"
+#include "admission/OutlierDetector.h"
+#include "admission/OwnedUpstream.h"
+#include "admission/OwnerTable.h"
+#include "admission/PeerSlots.h"
+#include "admission/RetryBudget.h"
+#include "base/Counters.h"
+#include "base/KeyedHash.h"
+#include "message/PeerMessage.h"
+#include "plan/Plan.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace bulrushgap {
+
+/** \brief Decides for every request of one instance whether, when and where it runs.
+ *
+ * Sends requests only to the upstreams that the instance owns under the plan in force, so the
+ * slots in use are known exactly. Every request that admit() dispatches or queues ends in exactly
+ * one of: AnswerAccepted with the last part, RequestRefused, RequestRelayed.
+ */
+class AdmissionController
+{
+public:
+    using Events = std::vector<AdmissionEvent>;
+
+    AdmissionController(InstanceId self, std::uint64_t bootId, const KeyedHash &hash,
+                        const AdmissionSettings &settings, Random &random, Counters &counters);
+
+    /** \brief Puts \a plan in force.
+     *
+     * \param handedOver requests that previous owners still had in flight. An upstream that is
+     * new to this instance and not listed counts as fully used until maximalDeadline has passed or
+     * it reports less, unless the previous plan did not contain it. */
+    void setPlan(const Plan &plan, std::span<const InFlightCount> handedOver, TimePoint now);
+
+    /** \brief Stops sending to upstreams that another instance owns under \a next.
+     * \returns all of these with the slots in use, also if zero. \sa setPlan */
+    std::vector<InFlightCount> releaseFor(const Plan &next);
+
+    /** \returns the present counts of the upstreams that were given up with the last plan. */
+    [[nodiscard]] std::vector<InFlightCount> givenUpInFlight() const;
+
+    /** \brief Lowers the handed-over counts to newer ones. \sa givenUpInFlight */
+    void lowerHandedOver(std::span<const InFlightCount> counts);
+
+    AdmissionDecision admit(const AdmissionRequest &request, TimePoint now);
+
+    /** \brief Reports a packet that an upstream sent for the dispatch \a id.
+     * \param lastPart no higher part follows; lower ones may still be under way */
+    [[nodiscard]] Events onAnswer(const DispatchId &id, AnswerOutcome outcome, bool lastPart,
+                                  const std::optional<LoadReport> &report, TimePoint now);
+
+    /** \brief Load report outside of an answer, for example with an item of a feed. */
+    void onLoadReport(UpstreamId upstream, const LoadReport &report);
+
+    /** \brief Ends a request that the caller cancelled; its slot is used until it is answered. */
+    [[nodiscard]] Events cancel(std::uint64_t handle, TimePoint now);
+
+    /** \brief Handles timeouts and deadlines; call it every few milliseconds. */
+    [[nodiscard]] Events tick(TimePoint now);
+
+    /** \returns for each service the slots that peers may use, for the heartbeat. */
+    [[nodiscard]] std::vector<FreeSlots> freeSlots() const;
+    void onPeerSlots(InstanceId peer, std::span<const FreeSlots> slots, TimePoint now);
+
+    /** \returns states of owned upstreams for the planner: changed ones, and again those that
+     * the plan in force does not show. */
+    [[nodiscard]] std::vector<UpstreamStatus> takeStatusChanges();
+
+    /** \returns whether no request is queued or in flight. */
+    [[nodiscard]] bool drained() const { return this->requests.empty(); }
+
+    /** \returns slots in use at \a upstream as counted here, including handed-over ones. */
+    [[nodiscard]] std::uint16_t inFlight(UpstreamId upstream) const;
+
+private:
+    using Sequence = std::uint32_t; //!< Of a DispatchId.
+    using OwnedUpstream = internal::OwnedUpstream;
+
+    struct ServiceState
+    {
+        std::vector<UpstreamId> owned;
+        DeadlineQueue queue;
+        RetryBudget budget;
+        OutlierDetector outliers;
+        LatencyEstimate latency;
+    };
+
+    struct RequestState
+    {
+        AdmissionRequest request;
+        std::optional<Sequence> current;   //!< The attempt that runs; none while queued.
+        std::optional<Sequence> answering; //!< The attempt whose parts the caller gets.
+        std::optional<UpstreamId> failed;  //!< Upstream of the last failed attempt.
+        std::uint8_t retries = 0;
+        std::uint8_t unknownOutcomes = 0; //!< Earlier attempts that may have run.
+    };
+
+    struct Attempt
+    {
+        std::uint64_t handle = 0;
+        ServiceId service;
+        UpstreamId upstream;
+        TimePoint sentAt;
+        TimePoint timeout;
+        TimePoint slotUntil; //!< The upstream has given up the request by then.
+        TimePoint keepUntil; //!< Parts are accepted until then.
+        bool holdsSlot = true;
+        bool answered = false;  //!< At least one part has come.
+        bool missed = false;    //!< The timeout passed without an answer.
+        bool delivered = false; //!< The caller has got the last part.
+    };
+
+    [[nodiscard]] ServiceState *service(ServiceId id);
+    [[nodiscard]] OwnedUpstream *upstream(UpstreamId id);
+    [[nodiscard]] RequestState *request(std::uint64_t handle);
+
+    void adopt(const Plan &plan, const PlanService &service, const PlanUpstream &upstream);
+    void takeOver(OwnedUpstream &entry, std::span<const InFlightCount> handedOver, TimePoint now);
+    void updateService(const PlanService &service);
+    void refuseGoneServices(const Plan &plan);
+
+    [[nodiscard]] AdmissionDecision decide(ServiceState &service, RequestState &state,
+                                           TimePoint now);
+    [[nodiscard]] std::optional<InstanceId> relayTarget(const RequestState &state, TimePoint now);
+    [[nodiscard]] std::optional<InstanceId> weightedOwner(const RequestState &state, bool orSelf,
+                                                          TimePoint now);
+    [[nodiscard]] OwnedUpstream *chooseUpstream(ServiceState &service, const RequestState &state,
+                                                TimePoint now);
+    [[nodiscard]] bool onlyProbed(const ServiceState &service, const OwnedUpstream &entry) const;
+    [[nodiscard]] bool hasAlternative(const ServiceState &service, UpstreamId failed) const;
+    [[nodiscard]] bool hasFreeSlot(const ServiceState &service, TimePoint now) const;
+    [[nodiscard]] ServiceRate rate(const ServiceState &service, TimePoint now) const;
+    [[nodiscard]] Duration attemptTime(const ServiceState &service) const;
+
+    Dispatch send(ServiceState &service, RequestState &state, OwnedUpstream &entry, TimePoint now);
+    [[nodiscard]] std::optional<RefusalReason> enqueue(ServiceState &service,
+                                                       const RequestState &state, TimePoint now);
+    void pump(ServiceState &service, TimePoint now);
+    void pumpServicesOf(UpstreamId id, TimePoint now);
+    void moveOrphans(ServiceId id, ServiceState &service, TimePoint now);
+
+    void learn(const Attempt &attempt, AnswerOutcome outcome,
+               const std::optional<LoadReport> &report, TimePoint now);
+    void deliver(Sequence sequence, Attempt &attempt, bool lastPart, TimePoint now);
+    void onServerError(Sequence sequence, Attempt &attempt, bool lastPart, TimePoint now);
+    void onShed(Sequence sequence, Attempt &attempt, TimePoint now);
+    void onTimeout(Sequence sequence, Attempt &attempt, TimePoint now);
+    void onEjected(ServiceId service, UpstreamId upstream, TimePoint now);
+    void releaseSlot(Attempt &attempt);
+
+    [[nodiscard]] bool mayRetry(const RequestState &state, TimePoint now);
+    [[nodiscard]] bool spendRetry(ServiceId service, TimePoint now);
+    void retry(RequestState &state, const Attempt &attempt, RetryReason reason, TimePoint now);
+    void refuse(std::uint64_t handle, RefusalReason reason, Verdict verdict);
+    void end(std::uint64_t handle);
+    [[nodiscard]] static Verdict verdictOf(const RequestState &state);
+    [[nodiscard]] DispatchId dispatchId(Sequence sequence) const;
+    [[nodiscard]] Events takeEvents();
+
+    InstanceId self;
+    std::uint64_t bootId;
+    KeyedHash hash;
+    AdmissionSettings settings;
+    Random &random;
+    Counters &counters;
+    OwnerTable owners;
+    PeerSlots peers;
+    bool planKnown = false;
+    TimePoint latest; //!< Time of the latest call.
+    Sequence lastSequence = 0;
+    std::map<ServiceId, ServiceState> services;
+    std::map<UpstreamId, OwnedUpstream> upstreams;
+    std::map<std::uint64_t, RequestState> requests;
+    std::map<Sequence, Attempt> attempts;
+    Events events;
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/admission/OutlierDetector.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "base/Counters.h"
+#include "base/Ids.h"
+#include "base/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+
+namespace bulrushgap {
+
+struct OutlierSettings
+{
+    int missLimit = 3; //!< Consecutive missed deadlines that eject an upstream.
+    Duration probeInterval{1'000'000};
+    /** \brief A request that must not be repeated probes only after so many idle intervals. */
+    int riskyProbeFactor = 5;
+};
+
+struct ObservedUpstream
+{
+    UpstreamId id;
+    DomainId domain;
+    bool ejectedByPlan = false;
+};
+
+/** \brief Ejects upstreams of one service that answer nothing, and probes them.
+ *
+ * At most a third of the service's upstreams, rounded down but at least one of two or more, is
+ * ejected: one of 4, four of 14. An only upstream is never ejected.
+ */
+class OutlierDetector
+{
+public:
+    OutlierDetector(const OutlierSettings &settings, Counters &counters)
+        : settings(settings)
+        , counters(counters)
+    {}
+
+    /** \brief Sets the upstreams that this instance sends to; keeps what it knows of them.
+     *
+     * \param serviceSize the number of all upstreams of the service
+     * \param ejectedElsewhere upstreams that the plan marks ejected and others own */
+    void setUpstreams(std::span<const ObservedUpstream> upstreams, std::size_t serviceSize,
+                      std::size_t ejectedElsewhere);
+
+    void onAnswer(UpstreamId id);
+    void onMissedDeadline(UpstreamId id, TimePoint now);
+    void onProbe(UpstreamId id, TimePoint now);
+
+    [[nodiscard]] bool ejected(UpstreamId id) const;
+
+    /** \returns whether a request may be sent to the ejected upstream now. */
+    [[nodiscard]] bool probeDue(UpstreamId id, bool idempotent, TimePoint now) const;
+
+private:
+    struct State
+    {
+        DomainId domain;
+        int misses = 0;
+        bool ejected = false;
+        TimePoint nextProbe;
+    };
+
+    [[nodiscard]] std::size_t ejectionLimit() const;
+    [[nodiscard]] std::size_t ejectedCount() const;
+    [[nodiscard]] bool wholeDomainIll(DomainId domain) const;
+
+    OutlierSettings settings;
+    Counters &counters;
+    std::map<UpstreamId, State> states;
+    std::size_t serviceSize = 0;
+    std::size_t ejectedElsewhere = 0;
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/admission/RetryBudget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/Time.h"
+
+namespace bulrushgap {
+
+struct RetryBudgetSettings
+{
+    double share = 0.1;         //!< Retries per recent success.
+    double floor = 2.0;         //!< Retries per decay time without any success.
+    Duration decay{10'000'000}; //!< Time in which a success or retry fades to 1/e.
+};
+
+/** \brief Bounds retries to a share of recent successes, so that they cannot amplify an outage. */
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryBudgetSettings &settings = {})
+        : settings(settings)
+    {}
+
+    void onSuccess(TimePoint now);
+
+    /** \brief Spends one retry. \returns false if the budget is used up. */
+    bool trySpend(TimePoint now);
+
+private:
+    void fade(TimePoint now);
+
+    RetryBudgetSettings settings;
+    double successes = 0;
+    double retries = 0;
+    TimePoint fadedAt;
+};
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/admission/UpstreamLimiter.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <algorithm>
+#include <cstdint>
+
+namespace bulrushgap {
+
+/** \brief Requests in flight at one upstream against its limit.
+ *
+ * Counts own requests exactly and those of a previous owner as assumed ones.
+ */
+class UpstreamLimiter
+{
+public:
+    /** \brief Takes a slot. \returns false if none is free. */
+    bool tryAcquire(std::uint16_t limit)
+    {
+        if (this->free(limit) == 0)
+            return false;
+        ++this->own;
+        return true;
+    }
+
+    /** \brief Returns a slot that tryAcquire() gave. */
+    void release();
+
+    /** \brief Counts \a count slots as used by a previous owner, until \a until at the latest. */
+    void assume(std::uint16_t count, TimePoint until);
+
+    /** \brief Lowers the assumed slots to what the upstream or the previous owner reports. */
+    void assumeAtMost(std::uint16_t count) { this->assumed = std::min(this->assumed, count); }
+
+    /** \brief Drops assumed slots whose requests have passed their deadline. */
+    void expire(TimePoint now)
+    {
+        if (now >= this->assumedUntil)
+            this->assumed = 0;
+    }
+
+    [[nodiscard]] std::uint16_t inFlight() const
+    {
+        return static_cast<std::uint16_t>(this->own + this->assumed);
+    }
+    [[nodiscard]] std::uint16_t ownInFlight() const { return this->own; }
+    [[nodiscard]] std::uint16_t free(std::uint16_t limit) const
+    {
+        return static_cast<std::uint16_t>(limit - std::min(limit, this->inFlight()));
+    }
+
+private:
+    std::uint16_t own = 0;
+    std::uint16_t assumed = 0;
+    TimePoint assumedUntil;
+};
+
+} // namespace bulrushgap
