--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -27,22 +27,29 @@
 {
     this->latest = now;
     OwnerTable next(plan, this->hash);
+    std::map<UpstreamId, bool> wasOwned;
     std::map<UpstreamId, bool> kept;
     for (auto &[id, entry] : this->upstreams) {
+        wasOwned[id] = entry.owned;
         kept[id] = entry.owned && !entry.released;
         entry.owned = false;
         entry.released = false;
+        if (!entry.services.empty())
+            entry.lastService = entry.services.front();
         entry.services.clear();
     }
     for (const PlanService &planService : plan.services)
         for (const PlanUpstream &planUpstream : planService.upstreams)
             if (next.owner(planUpstream.id) == this->self)
                 this->adopt(plan, planService, planUpstream);
-    for (auto &[id, entry] : this->upstreams)
+    for (auto &[id, entry] : this->upstreams) {
         if (entry.owned && !kept[id])
             this->takeOver(entry, handedOver, now);
+        entry.givenUp = !entry.owned && wasOwned[id];
+    }
     std::erase_if(this->upstreams, [](const auto &item) {
-        return !item.second.owned && item.second.limiter.ownInFlight() == 0;
+        const OwnedUpstream &entry = item.second;
+        return !entry.owned && !entry.givenUp && entry.limiter.ownInFlight() == 0;
     });
     for (const PlanService &planService : plan.services)
         this->updateService(planService);
@@ -141,9 +148,8 @@
 {
     std::vector<InFlightCount> counts;
     for (const auto &[id, entry] : this->upstreams)
-        if (!entry.owned || entry.released)
-            counts.push_back({entry.services.empty() ? ServiceId{} : entry.services.front(), id,
-                              entry.limiter.inFlight()});
+        if (entry.givenUp)
+            counts.push_back({entry.lastService, id, entry.limiter.inFlight()});
     return counts;
 }
 
@@ -556,11 +562,8 @@
 AdmissionController::Events AdmissionController::cancel(std::uint64_t handle, TimePoint now)
 {
     this->latest = now;
-    if (RequestState *state = this->request(handle)) {
-        if (ServiceState *waitingIn = this->service(state->request.service))
-            waitingIn->queue.remove(handle);
+    if (const RequestState *state = this->request(handle))
         this->refuse(handle, RefusalReason::Cancelled, verdictOf(*state));
-    }
     return this->takeEvents();
 }
 
@@ -586,12 +589,8 @@
     for (const auto &[handle, state] : this->requests)
         if (now >= state.request.deadline)
             late.push_back(handle);
-    for (const std::uint64_t handle : late) {
-        RequestState &state = *this->request(handle);
-        if (ServiceState *waitingIn = this->service(state.request.service))
-            waitingIn->queue.remove(handle);
-        this->refuse(handle, RefusalReason::Deadline, verdictOf(state));
-    }
+    for (const std::uint64_t handle : late)
+        this->refuse(handle, RefusalReason::Deadline, verdictOf(*this->request(handle)));
     for (auto &[id, entry] : this->upstreams)
         entry.limiter.expire(now);
     for (auto &[id, state] : this->services) {
@@ -700,7 +699,10 @@
 
 void AdmissionController::end(std::uint64_t handle)
 {
-    this->requests.erase(handle);
+    const auto found = this->requests.find(handle);
+    if (ServiceState *state = this->service(found->second.request.service))
+        state->queue.remove(handle);
+    this->requests.erase(found);
 }
 
 Verdict AdmissionController::verdictOf(const RequestState &state)
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -48,10 +48,13 @@
      * \returns all of these with the slots in use, also if zero. \sa setPlan */
     std::vector<InFlightCount> releaseFor(const Plan &next);
 
-    /** \returns the present counts of the upstreams that were given up with the last plan. */
+    /** \returns the present counts of the upstreams that were given up with the plan in force.
+     *
+     * For the instances that took over under the same plan: they would otherwise count the
+     * requests as running until maximalDeadline. \sa lowerHandedOver */
     [[nodiscard]] std::vector<InFlightCount> givenUpInFlight() const;
 
-    /** \brief Lowers the handed-over counts to newer ones. \sa givenUpInFlight */
+    /** \brief Lowers handed-over counts; only with counts for the plan in force. */
     void lowerHandedOver(std::span<const InFlightCount> counts);
 
     AdmissionDecision admit(const AdmissionRequest &request, TimePoint now);
@@ -164,6 +167,7 @@
     [[nodiscard]] bool spendRetry(ServiceId service, TimePoint now);
     void retry(RequestState &state, const Attempt &attempt, RetryReason reason, TimePoint now);
     void refuse(std::uint64_t handle, RefusalReason reason, Verdict verdict);
+    /** \brief Forgets a request, also if it waits in a queue. */
     void end(std::uint64_t handle);
     [[nodiscard]] static Verdict verdictOf(const RequestState &state);
     [[nodiscard]] DispatchId dispatchId(Sequence sequence) const;
--- a/src/admission/OwnedUpstream.h
+++ b/src/admission/OwnedUpstream.h
@@ -26,6 +26,8 @@
     ColdStartRamp ramp;
     bool owned = false;
     bool released = false;      //!< Given up under the next plan: no new requests.
+    bool givenUp = false;       //!< Owned under the previous plan but not this one.
+    ServiceId lastService;      //!< That contained the upstream while it was owned.
     bool takesRequests = false; //!< Under the plan in force.
     bool domainOut = false;
     std::uint32_t lastDispatch = 0; //!< Sequence number; the least recent upstream goes first.
