Compare admission policies in virtual time; start no request that ends late

At 1.3 of the capacity, requests started when only the average service time was left, so half of them ended after their deadline. In an outage of 5 of 14 upstreams, instances that own only hung upstreams kept requests waiting. Ruled out: doubling the average, because the share of late requests depends on the spread; relaying retries that may have run, because their verdict would be lost. Change: the queue refuses requests with less than the average plus two mean deviations left. An upstream that missed a deadline offers no slots to peers, and an instance with only such upstreams relays. Shares of waiting requests follow slots times weight. bench/AdmissionBench compares a random upstream, limits by each instance's own count, and the admission owner.

--- /dev/null
+++ b/bench/AdmissionBench.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <span>
+#include <string>
+
+namespace bulrushgap {
+
+/** \brief Compares admission policies in virtual time and prints a table.
+ * \param arguments optional: the seed
+ * \returns the exit code of the process */
+int runAdmissionBench(std::span<const std::string> arguments);
+
+} // namespace bulrushgap
--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -189,10 +189,14 @@
     };
     if (state.request.deadline <= now)
         return refused(RefusalReason::Deadline);
-    if (OwnedUpstream *entry = this->chooseUpstream(service, state, now))
+    // Only requests that can be retried try an upstream in doubt before other instances.
+    OwnedUpstream *entry = this->chooseUpstream(service, state, now);
+    if (entry && (state.request.idempotent || !service.outliers.suspect(entry->plan.id)))
         return this->send(service, state, *entry, now);
     if (const auto peer = this->relayTarget(state, now))
         return RelayTo{*peer};
+    if (entry)
+        return this->send(service, state, *entry, now);
     if (service.owned.empty()) {
         const bool ownerExists = !this->owners.owners(state.request.service).empty();
         const bool hopsLeft = state.request.hops < maximalRelayHops;
@@ -212,9 +216,9 @@
     if (const auto peer = this->peers.takeFree(state.request.service, owners, now, this->random))
         return peer;
     // All owners are busy as far as known. The first instance spreads the waiting requests over
-    // the owners in proportion to their slots; a relayed request waits where it is.
+    // the owners in proportion to what their upstreams bear; a relayed request waits where it is.
     const ServiceState *service = this->service(state.request.service);
-    const bool own = service && !service->owned.empty();
+    const bool own = service && this->ownsHealthy(*service);
     if (own && state.request.hops > 0)
         return std::nullopt;
     return this->weightedOwner(state, own, now);
@@ -229,16 +233,16 @@
     const auto owners = this->owners.owners(state.request.service);
     std::uint32_t total = 0;
     for (const OwnerSlots &owner : owners)
-        total += usable(owner) ? owner.slots : 0;
+        total += usable(owner) ? owner.share : 0;
     if (total == 0)
         return std::nullopt;
     std::uint32_t pick = std::uniform_int_distribution<std::uint32_t>(0, total - 1)(this->random);
     for (const OwnerSlots &owner : owners) {
         if (!usable(owner))
             continue;
-        if (pick < owner.slots)
+        if (pick < owner.share)
             return owner.instance == this->self ? std::nullopt : std::optional(owner.instance);
-        pick -= owner.slots;
+        pick -= owner.share;
     }
     return std::nullopt;
 }
@@ -285,6 +289,15 @@
     });
 }
 
+bool AdmissionController::ownsHealthy(const ServiceState &service) const
+{
+    return std::ranges::any_of(service.owned, [&](UpstreamId id) {
+        const OwnedUpstream &entry = this->upstreams.at(id);
+        return entry.eligible() && !this->onlyProbed(service, entry)
+               && !service.outliers.suspect(id);
+    });
+}
+
 bool AdmissionController::hasFreeSlot(const ServiceState &service, TimePoint now) const
 {
     return std::ranges::any_of(service.owned, [&](UpstreamId id) {
@@ -297,6 +310,7 @@
 {
     ServiceRate rate;
     rate.serviceTime = service.latency.value(Duration(0));
+    rate.ample = service.latency.ample();
     std::uint32_t slots = 0;
     for (const UpstreamId id : service.owned) {
         const OwnedUpstream &entry = this->upstreams.at(id);
@@ -720,7 +734,8 @@
         std::size_t free = 0;
         for (const UpstreamId id : state.owned) {
             const OwnedUpstream &entry = this->upstreams.at(id);
-            if (entry.eligible() && !this->onlyProbed(state, entry))
+            const bool healthy = !this->onlyProbed(state, entry) && !state.outliers.suspect(id);
+            if (entry.eligible() && healthy)
                 free += entry.free(this->latest);
         }
         free -= std::min(free, state.queue.size());
--- a/src/admission/AdmissionController.h
+++ b/src/admission/AdmissionController.h
@@ -143,6 +143,8 @@
                                                 TimePoint now);
     [[nodiscard]] bool onlyProbed(const ServiceState &service, const OwnedUpstream &entry) const;
     [[nodiscard]] bool hasAlternative(const ServiceState &service, UpstreamId failed) const;
+    /** \returns whether an own upstream has answered its latest request. */
+    [[nodiscard]] bool ownsHealthy(const ServiceState &service) const;
     [[nodiscard]] bool hasFreeSlot(const ServiceState &service, TimePoint now) const;
     [[nodiscard]] ServiceRate rate(const ServiceState &service, TimePoint now) const;
     [[nodiscard]] Duration attemptTime(const ServiceState &service) const;
--- a/src/admission/DeadlineQueue.cpp
+++ b/src/admission/DeadlineQueue.cpp
@@ -15,7 +15,7 @@
     const auto place = std::ranges::lower_bound(this->entries, key);
     const auto ahead = static_cast<Duration::rep>(place - this->entries.begin());
     const Duration wait = rate.serviceTime * (ahead + 1) / static_cast<int>(rate.slots);
-    if (now + wait + rate.serviceTime > request.deadline)
+    if (now + wait + rate.ample > request.deadline)
         return {PushResult::TooLate, request.handle};
     this->entries.insert(place, key);
     this->deadlines.emplace(request.handle, request.deadline);
@@ -31,7 +31,7 @@
 {
     std::vector<std::uint64_t> late;
     for (const auto &[deadline, handle] : this->entries) {
-        if (now + rate.serviceTime <= deadline)
+        if (now + rate.ample <= deadline)
             break;
         late.push_back(handle);
     }
--- a/src/admission/DeadlineQueue.h
+++ b/src/admission/DeadlineQueue.h
@@ -33,7 +33,8 @@
 /** \brief Time that a request may need: per request, and slots that work in parallel. */
 struct ServiceRate
 {
-    Duration serviceTime{0};
+    Duration serviceTime{0}; //!< Average.
+    Duration ample{0};       //!< A request that starts later than this before its deadline is late.
     std::uint32_t slots = 1;
 };
 
--- a/src/admission/LatencyEstimate.h
+++ b/src/admission/LatencyEstimate.h
@@ -6,16 +6,19 @@
 
 namespace bulrushgap {
 
-/** \brief Exponentially weighted moving average of service times. */
+/** \brief Exponentially weighted moving average and mean deviation of service times. */
 class LatencyEstimate
 {
 public:
     void add(Duration latency)
     {
-        if (!this->average)
+        if (!this->average) {
             this->average = latency;
-        else
-            *this->average += (latency - *this->average) / sampleShare;
+            return;
+        }
+        const Duration error = latency - *this->average;
+        *this->average += error / sampleShare;
+        this->deviation += (std::chrono::abs(error) - this->deviation) / sampleShare;
     }
 
     /** \returns the average, or \a fallback without a sample. */
@@ -23,13 +26,21 @@
     {
         return this->average.value_or(fallback);
     }
+    /** \returns a time within which most requests end, or 0 without a sample. */
+    [[nodiscard]] Duration ample() const
+    {
+        return this->value(Duration(0)) + ampleDeviations * this->deviation;
+    }
     [[nodiscard]] bool known() const { return this->average.has_value(); }
 
 private:
     /** \brief A new sample counts for one part in so many. */
     static constexpr int sampleShare = 16;
 
+    static constexpr int ampleDeviations = 2;
+
     std::optional<Duration> average;
+    Duration deviation{0};
 };
 
 } // namespace bulrushgap
--- a/src/admission/OutlierDetector.cpp
+++ b/src/admission/OutlierDetector.cpp
@@ -71,6 +71,12 @@
     return found != this->states.end() && found->second.ejected;
 }
 
+bool OutlierDetector::suspect(UpstreamId id) const
+{
+    const auto found = this->states.find(id);
+    return found != this->states.end() && found->second.misses > 0;
+}
+
 bool OutlierDetector::probeDue(UpstreamId id, bool idempotent, TimePoint now) const
 {
     const auto found = this->states.find(id);
--- a/src/admission/OutlierDetector.h
+++ b/src/admission/OutlierDetector.h
@@ -52,6 +52,9 @@
 
     [[nodiscard]] bool ejected(UpstreamId id) const;
 
+    /** \returns whether the upstream has missed a deadline since its last answer. */
+    [[nodiscard]] bool suspect(UpstreamId id) const;
+
     /** \returns whether a request may be sent to the ejected upstream now. */
     [[nodiscard]] bool probeDue(UpstreamId id, bool idempotent, TimePoint now) const;
 
--- a/src/admission/OwnerTable.cpp
+++ b/src/admission/OwnerTable.cpp
@@ -35,16 +35,16 @@
 OwnerTable::OwnerTable(const Plan &plan, const KeyedHash &hash)
 {
     for (const PlanService &service : plan.services) {
-        std::map<InstanceId, std::uint32_t> slots;
+        std::map<InstanceId, std::uint32_t> shares;
         for (const PlanUpstream &upstream : service.upstreams) {
             const auto owner = internal::rendezvousOwner(plan, upstream, hash);
             this->ownerOf[upstream.id] = owner;
             if (owner && takesRequests(plan, upstream))
-                slots[*owner] += upstream.slots;
+                shares[*owner] += std::uint32_t{upstream.slots} * upstream.weight;
         }
         std::vector<OwnerSlots> &owners = this->ownersOf[service.id];
-        for (const auto &[instance, count] : slots)
-            owners.push_back({instance, count});
+        for (const auto &[instance, share] : shares)
+            owners.push_back({instance, share});
     }
 }
 
--- a/src/admission/OwnerTable.h
+++ b/src/admission/OwnerTable.h
@@ -15,7 +15,7 @@
 struct OwnerSlots
 {
     InstanceId instance;
-    std::uint32_t slots = 0; //!< Of the upstreams that take requests.
+    std::uint32_t share = 0; //!< Slots times weight of the upstreams that take requests.
 };
 
 /** \returns whether \a upstream takes requests under \a plan, other than probes. */
--- a/tests/DeadlineQueue.cpp
+++ b/tests/DeadlineQueue.cpp
@@ -38,8 +38,8 @@
     }));
     Random random(1);
     DeadlineQueue queue(8);
-    const ServiceRate rate{100ms, static_cast<std::uint32_t>(slots)};
-    const ServiceRate fast{0ms, 1};
+    const ServiceRate rate{100ms, 100ms, static_cast<std::uint32_t>(slots)};
+    const ServiceRate fast{0ms, 0ms, 1};
     REQUIRE(queue.push({1, start + 220ms}, fast, start, random).result == PushResult::Queued);
     REQUIRE(queue.push({2, start + 210ms}, fast, start, random).result == PushResult::Queued);
     REQUIRE(queue.push({3, start + deadline}, rate, start, random).result == expected);
@@ -51,7 +51,7 @@
 // Guards against dispatch out of order, and overflow that always hits the same requests.
 TEST_CASE("the queue is ordered by deadline and drops fairly", "[DeadlineQueue]")
 {
-    const ServiceRate fast{0ms, 1};
+    const ServiceRate fast{0ms, 0ms, 1};
     std::vector<int> drops(5);
     Random random(1);
     for (int run = 0; run < 1000; ++run) {
