--- /dev/null
+++ b/tests/AdmissionController.cpp
@@ -0,0 +1,579 @@
+#include "admission.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace bulrushgap;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint start{1h};
+constexpr ServiceId service{1};
+constexpr UpstreamId upstream{1};
+
+/** \brief Instances 1, 2, ... and upstreams 1, 2, ... with 2 slots in domains named by letter. */
+Plan planOf(const std::string &instances, const std::string &upstreams)
+{
+    Plan plan;
+    for (const char domain : {'x', 'y'})
+        plan.domains.push_back({DomainId{static_cast<std::uint16_t>(domain)}, {domain}});
+    for (const char domain : instances) {
+        const auto id = static_cast<std::uint16_t>(plan.instances.size() + 1);
+        plan.instances.push_back(
+            {InstanceId{id}, {}, DomainId{static_cast<std::uint16_t>(domain)}, {}, {}, 1});
+    }
+    plan.services.push_back({service, "dispatch", {}, {}});
+    for (const char domain : upstreams) {
+        auto &list = plan.services.front().upstreams;
+        const auto id = static_cast<std::uint16_t>(list.size() + 1);
+        list.push_back(
+            {UpstreamId{id}, {}, {}, DomainId{static_cast<std::uint16_t>(domain)}, fullWeight, 2});
+    }
+    return plan;
+}
+
+/** \brief A controller with what it needs, and shorthands for one service. */
+struct Node
+{
+    explicit Node(std::uint16_t id, bool assumeBusy = false, std::uint64_t boot = 1)
+        : random(id)
+        , controller(InstanceId{id}, boot, KeyedHash(7), settings(assumeBusy), random, counters)
+    {}
+
+    static AdmissionSettings settings(bool assumeBusy)
+    {
+        AdmissionSettings settings;
+        settings.assumeBusyAtStart = assumeBusy;
+        settings.queuePerService = 4;
+        return settings;
+    }
+    AdmissionDecision admit(bool idempotent = true, Duration deadline = 1s, std::uint8_t hops = 0)
+    {
+        return this->controller.admit(
+            {++this->handle, service, idempotent, this->now + deadline, hops}, this->now);
+    }
+    AdmissionController::Events answer(const DispatchId &id, AnswerOutcome outcome,
+                                       std::optional<LoadReport> report = std::nullopt)
+    {
+        return this->controller.onAnswer(id, outcome, true, report, this->now);
+    }
+    /** \brief Answers one request of each upstream, so that both slots may be used. */
+    void warmUp(int upstreams)
+    {
+        for (int i = 0; i < upstreams; ++i)
+            this->answer(std::get<Dispatch>(this->admit()).id, AnswerOutcome::Success);
+    }
+    void advertise(std::uint16_t peer, std::uint16_t free)
+    {
+        const std::array slots{FreeSlots{service, free}};
+        this->controller.onPeerSlots(InstanceId{peer}, slots, this->now);
+    }
+
+    Counters counters;
+    Random random;
+    AdmissionController controller;
+    TimePoint now = start;
+    std::uint64_t handle = 0;
+    int plans = 0; //!< Number of the plan in force.
+};
+
+template <typename Event>
+std::vector<Event> only(const AdmissionController::Events &events)
+{
+    std::vector<Event> result;
+    for (const AdmissionEvent &event : events)
+        if (const auto *found = std::get_if<Event>(&event))
+            result.push_back(*found);
+    return result;
+}
+
+std::string describe(const AdmissionDecision &decision)
+{
+    if (std::holds_alternative<Dispatch>(decision))
+        return "dispatch";
+    if (std::holds_alternative<Queued>(decision))
+        return "queued";
+    if (const auto *relay = std::get_if<RelayTo>(&decision))
+        return "relay " + std::to_string(relay->instance.value);
+    return std::string(toString(std::get<Refused>(decision).reason));
+}
+
+} // namespace
+
+// Guards against work for upstreams that must get none, and relays without hops or slots.
+TEST_CASE("a request goes where the plan and the free slots allow", "[AdmissionController]")
+{
+    using Change = std::function<void(Plan &)>;
+    const Change none = [](Plan &) {
+    };
+    const Change draining = [](Plan &plan) {
+        plan.services[0].upstreams[0].state = UpstreamState::Draining;
+    };
+    const Change out = [](Plan &plan) {
+        plan.domains[0].out = true;
+    };
+    const Change leaving = [](Plan &plan) {
+        plan.instances[0].leaving = true;
+    };
+    const Change weightless = [](Plan &plan) {
+        plan.services[0].upstreams[0].weight = 0;
+    };
+    // One own upstream with a limit of 1, which `busy` requests use; one upstream of instance 2.
+    const auto [change, busy, advertised, hops, deadline, expected]
+        = GENERATE_COPY(table<Change, int, int, int, Duration, std::string>({
+            {none, 0, 2, 0, 1s, "dispatch"},
+            {none, 0, 2, 0, 0s, "deadline"},
+            {none, 1, 2, 0, 1s, "relay 2"},
+            {none, 1, 2, 1, 1s, "relay 2"},
+            {none, 1, 2, 2, 1s, "queued"},
+            {none, 1, 0, 1, 1s, "queued"},
+            {none, 1, -1, 0, 1s, "queued"},
+            {draining, 0, 2, 0, 1s, "relay 2"},
+            {weightless, 0, 2, 0, 1s, "relay 2"},
+            {out, 0, 2, 0, 1s, "relay 2"},
+            {leaving, 0, 0, 0, 1s, "relay 2"},
+            {leaving, 0, -1, 0, 1s, "no_upstream"},
+            {leaving, 0, 2, 2, 1s, "hop_limit"},
+        }));
+    Node node(1);
+    Plan plan = planOf("xy", "xy");
+    change(plan);
+    node.controller.setPlan(plan, {}, start);
+    if (advertised >= 0)
+        node.advertise(2, static_cast<std::uint16_t>(advertised));
+    for (int i = 0; i < busy; ++i)
+        REQUIRE(describe(node.admit()) == "dispatch");
+    REQUIRE(describe(node.admit(true, deadline, static_cast<std::uint8_t>(hops))) == expected);
+}
+
+// Guards against wrong verdicts, and against a retry at the upstream that failed.
+TEST_CASE("failed attempts end in a retry elsewhere or a true verdict", "[AdmissionController]")
+{
+    using enum AnswerOutcome;
+    const auto [idempotent, outcome, delay, retried, verdict]
+        = GENERATE(table<bool, std::optional<AnswerOutcome>, Duration, bool, Verdict>({
+            {true, Success, 1ms, false, Verdict::Answered},
+            {true, Shed, 1ms, true, Verdict::NotRun},
+            {true, ServerError, 1ms, true, Verdict::MayHaveRun},
+            {true, std::nullopt, 201ms, true, Verdict::MayHaveRun},
+            {false, Success, 999ms, false, Verdict::Answered},
+            {false, Shed, 1ms, true, Verdict::NotRun},
+            {false, ServerError, 1ms, false, Verdict::Answered},
+            {false, std::nullopt, 999ms, false, Verdict::MayHaveRun},
+        }));
+    Node node(1);
+    node.controller.setPlan(planOf("x", "xx"), {}, start);
+    node.warmUp(2);
+    const auto first = std::get<Dispatch>(node.admit(idempotent));
+    node.now += delay;
+    auto events = node.controller.tick(node.now);
+    if (outcome)
+        events = node.answer(first.id, *outcome);
+    const auto again = only<Dispatch>(events);
+    REQUIRE(again.size() == (retried ? 1 : 0));
+    REQUIRE(only<RetryScheduled>(events).size() == again.size());
+    REQUIRE(only<AnswerAccepted>(events).size() == (verdict == Verdict::Answered ? 1 : 0));
+    if (retried) {
+        REQUIRE(again[0].upstream != first.upstream);
+        events = node.answer(again[0].id, Shed);
+        const auto third = only<Dispatch>(events);
+        // An unanswered first attempt still uses the only other slot.
+        REQUIRE(third.size() == (outcome ? 1 : 0));
+        if (outcome)
+            events = node.answer(third[0].id, Shed);
+    }
+    if (!outcome) {
+        node.now = start + 1s;
+        events = node.controller.tick(node.now);
+    }
+    const auto refused = only<RequestRefused>(events);
+    REQUIRE(refused.size() == (verdict == Verdict::Answered ? 0 : 1));
+    if (!refused.empty())
+        REQUIRE(refused[0].verdict == verdict);
+    REQUIRE(node.controller.drained());
+}
+
+// Guards against waiting requests that start out of order or claim that they may have run.
+TEST_CASE("waiting requests start by deadline, and late ones were not run", "[AdmissionController]")
+{
+    Node node(1);
+    node.controller.setPlan(planOf("x", "x"), {}, start);
+    const auto first = std::get<Dispatch>(node.admit(false, 3s));
+    REQUIRE(describe(node.admit(false, 900ms)) == "queued");
+    REQUIRE(describe(node.admit(false, 800ms)) == "queued");
+    REQUIRE(describe(node.admit(false, 100ms)) == "queued");
+    node.now += 150ms;
+    const auto late = only<RequestRefused>(node.controller.tick(node.now));
+    REQUIRE(late.size() == 1);
+    REQUIRE(late[0].handle == 4);
+    REQUIRE(late[0].verdict == Verdict::NotRun);
+    const auto cancelled = only<RequestRefused>(node.controller.cancel(2, node.now));
+    REQUIRE(cancelled.at(0).verdict == Verdict::NotRun);
+    const auto next = only<Dispatch>(node.answer(first.id, AnswerOutcome::Success));
+    REQUIRE(next.size() == 1);
+    REQUIRE(next[0].handle == 3);
+    const auto running = only<RequestRefused>(node.controller.cancel(3, node.now));
+    REQUIRE(running.at(0).verdict == Verdict::MayHaveRun);
+    // The cancelled request still uses its slot.
+    REQUIRE(node.controller.inFlight(UpstreamId{1}) == 1);
+    REQUIRE(node.controller.drained());
+    REQUIRE(node.counters.refused(RefusalReason::Cancelled) == 2);
+}
+
+// Guards against two owners that together send more than an upstream bears.
+TEST_CASE("a new owner counts the slots of the previous one", "[AdmissionController]")
+{
+    using Counts = std::vector<InFlightCount>;
+    // Instance 2 takes over from 1. Handed over, then a report or a newer count, then time.
+    const auto [handedOver, report, newer, wait, expected]
+        = GENERATE(table<Counts, int, int, Duration, std::string>({
+            {Counts{{service, upstream, 0}}, -1, -1, 0s, "dispatch"},
+            {Counts{{service, upstream, 1}}, -1, -1, 0s, "queued"},
+            {Counts{{service, upstream, 1}}, 0, -1, 0s, "dispatch"},
+            {Counts{{service, upstream, 1}}, -1, 0, 0s, "dispatch"},
+            {Counts{{service, upstream, 2}}, 1, -1, 0s, "queued"},
+            {Counts{}, -1, -1, 0s, "queued"},
+            {Counts{}, 0, -1, 0s, "dispatch"},
+            {Counts{}, -1, -1, 5s, "queued"},
+            {Counts{}, -1, -1, 5020ms, "dispatch"},
+        }));
+    const bool known = GENERATE(true, false);
+    Node node(2, true);
+    Plan plan = planOf("xx", "x");
+    Plan next = plan;
+    next.instances.erase(next.instances.begin());
+    // Rendezvous may give the upstream to either; an owner that leaves gives it to instance 2.
+    plan.instances[1].leaving = true;
+    if (known)
+        node.controller.setPlan(plan, {}, start);
+    node.controller.setPlan(next, handedOver, start);
+    if (report >= 0)
+        node.controller.onLoadReport(upstream, {static_cast<std::uint16_t>(report), 0, true});
+    if (newer >= 0)
+        node.controller.lowerHandedOver(
+            Counts{{service, upstream, static_cast<std::uint16_t>(newer)}});
+    node.now += wait;
+    REQUIRE(describe(node.admit()) == expected);
+    REQUIRE(describe(node.admit()) == "queued");
+}
+
+// Guards against a planner that never learns of an ejection because one message was lost.
+TEST_CASE("the state of upstreams is reported until the plan shows it", "[AdmissionController]")
+{
+    Node node(1);
+    Plan plan = planOf("x", "xx");
+    node.controller.setPlan(plan, {}, start);
+    REQUIRE(node.controller.takeStatusChanges().empty());
+    const auto cold = std::get<Dispatch>(node.admit());
+    node.answer(cold.id, AnswerOutcome::Success, LoadReport{0, 0, false});
+    REQUIRE(node.controller.takeStatusChanges()
+            == std::vector<UpstreamStatus>{{service, cold.upstream, false, 2}});
+    REQUIRE(node.controller.takeStatusChanges().empty());
+    node.now += 2s;
+    REQUIRE(node.controller.tick(node.now).empty());
+    REQUIRE(node.controller.takeStatusChanges().size() == 1);
+    plan.services[0].upstreams[cold.upstream.value - 1U].weight = 2;
+    node.controller.setPlan(plan, {}, node.now + 2s);
+    REQUIRE(node.controller.takeStatusChanges().empty());
+}
+
+namespace {
+
+/** \brief What an upstream of the simulation does with requests. */
+struct SimulatedUpstream
+{
+    int running = 0;
+    int successesToWarm = 0;
+    bool coldReported = false; //!< A controller has got a report without the warm flag.
+    TimePoint hangsUntil;
+};
+
+struct SimulatedRequest
+{
+    bool idempotent = false;
+    TimePoint deadline;
+    int holder = 0; //!< Node that the request is at.
+    int sent = 0;   //!< Dispatches that were not shed.
+    int runs = 0;
+    int answers = 0;
+    int notRun = 0;
+    int mayHaveRun = 0;
+    bool lost = false; //!< Its holder crashed.
+
+    [[nodiscard]] int verdicts() const { return this->answers + this->notRun + this->mayHaveRun; }
+};
+
+/** \brief Three instances and six small upstreams in virtual time. */
+class Simulation
+{
+public:
+    /** \param hanging numbers of upstreams that answer nothing */
+    Simulation(std::uint64_t seed, const std::vector<int> &hanging)
+        : random(seed)
+    {
+        for (const int upstream : hanging)
+            this->upstreams[upstream].hangsUntil = start + 24h;
+        for (std::uint16_t id = 1; id <= 3; ++id)
+            this->nodes.push_back(std::make_unique<Node>(id));
+        for (auto &node : this->nodes)
+            node->controller.setPlan(this->plan, {}, start);
+    }
+
+    void run(Duration length)
+    {
+        this->every(6ms, start + length, [this] { this->arrive(); });
+        this->every(5ms, start + length + 10s, [this] { this->tickAll(); });
+        this->every(100ms, start + length + 10s, [this] { this->heartbeat(); });
+        this->every(1500ms, start + length, [this] { this->disturb(); });
+        this->every(2s, start + length, [this] { this->changePlan(); });
+        while (!this->agenda.empty()) {
+            const auto next = this->agenda.begin();
+            this->now = next->first;
+            const auto action = std::move(next->second);
+            this->agenda.erase(next);
+            action();
+        }
+    }
+
+    std::vector<SimulatedRequest> requests;
+    std::vector<std::unique_ptr<Node>> nodes;
+    int dispatches = 0;
+    int overSlots = 0;
+    int overCold = 0;
+    int handedOver = 0;
+    std::uint64_t exceeded = 0;
+
+private:
+    using Action = std::function<void()>;
+
+    int draw(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(this->random); }
+    void at(Duration delay, Action action)
+    {
+        this->agenda.emplace(this->now + delay, std::move(action));
+    }
+    void every(Duration period, TimePoint end, const Action &action)
+    {
+        for (TimePoint time = start; time < end; time += period)
+            this->agenda.emplace(time, action);
+    }
+
+    void arrive()
+    {
+        SimulatedRequest request;
+        request.idempotent = this->draw(2) == 0;
+        request.deadline = this->now + this->draw(2000) * 1ms;
+        this->requests.push_back(request);
+        const auto handle = this->requests.size() - 1;
+        this->admit(this->draw(3), handle, 0);
+        if (this->draw(50) == 0)
+            this->at(20ms, [this, handle] { this->cancel(handle); });
+    }
+    void admit(int node, std::uint64_t handle, std::uint8_t hops)
+    {
+        SimulatedRequest &request = this->requests[handle];
+        request.holder = node;
+        const auto decision = this->nodes[node]->controller.admit(
+            {handle, service, request.idempotent, request.deadline, hops}, this->now);
+        if (const auto *dispatch = std::get_if<Dispatch>(&decision))
+            this->send(node, *dispatch);
+        if (const auto *refused = std::get_if<Refused>(&decision))
+            ++(refused->verdict == Verdict::NotRun ? request.notRun : request.mayHaveRun);
+        if (const auto *relay = std::get_if<RelayTo>(&decision))
+            this->relay(handle, relay->instance, hops);
+    }
+    void relay(std::uint64_t handle, InstanceId instance, std::uint8_t hops)
+    {
+        this->at(500us, [this, handle, instance, hops] {
+            this->admit(instance.value - 1, handle, static_cast<std::uint8_t>(hops + 1));
+        });
+    }
+    void cancel(std::uint64_t handle)
+    {
+        const int node = this->requests[handle].holder;
+        this->handle(node, this->nodes[node]->controller.cancel(handle, this->now));
+    }
+    void handle(int node, const AdmissionController::Events &events)
+    {
+        for (const auto &dispatch : only<Dispatch>(events))
+            this->send(node, dispatch);
+        for (const auto &answer : only<AnswerAccepted>(events))
+            this->requests[answer.handle].answers += answer.lastPart ? 1 : 0;
+        for (const auto &relayed : only<RequestRelayed>(events))
+            this->relay(relayed.handle, relayed.instance, 1);
+        for (const auto &refused : only<RequestRefused>(events)) {
+            SimulatedRequest &request = this->requests[refused.handle];
+            ++(refused.verdict == Verdict::NotRun ? request.notRun : request.mayHaveRun);
+        }
+    }
+    void send(int node, const Dispatch &dispatch)
+    {
+        ++this->dispatches;
+        ++this->requests[dispatch.handle].sent;
+        const bool knownCold = this->upstreams[dispatch.upstream.value - 1].coldReported;
+        this->at(500us, [=, this] { this->receive(node, dispatch, knownCold); });
+    }
+    void receive(int node, const Dispatch &dispatch, bool knownCold)
+    {
+        SimulatedUpstream &target = this->upstreams[dispatch.upstream.value - 1];
+        SimulatedRequest &request = this->requests[dispatch.handle];
+        const bool cold = target.successesToWarm > 0;
+        this->overSlots += target.running >= 2 ? 1 : 0;
+        this->overCold += cold && knownCold && target.running >= 1 ? 1 : 0;
+        if (this->draw(30) == 0) {
+            --request.sent;
+            this->reply(node, dispatch, AnswerOutcome::Shed);
+            return;
+        }
+        ++request.runs;
+        ++target.running;
+        // A hanging upstream gives up at the deadline, which travels with the request.
+        const bool hangs = this->now < target.hangsUntil;
+        const Duration work = (20ms + this->draw(40) * 1ms) * (cold ? 8 : 1);
+        const Duration left = request.deadline - this->now + 500us;
+        this->at(std::min(work, std::max(left, Duration(0))),
+                 [=, this] { this->finish(node, dispatch, hangs || work >= left); });
+    }
+    void finish(int node, const Dispatch &dispatch, bool silent)
+    {
+        SimulatedUpstream &target = this->upstreams[dispatch.upstream.value - 1];
+        if (silent && this->now < this->requests[dispatch.handle].deadline) {
+            const Duration left = this->requests[dispatch.handle].deadline - this->now;
+            this->at(left, [=, this] { this->finish(node, dispatch, true); });
+            return;
+        }
+        --target.running;
+        if (silent)
+            return;
+        target.successesToWarm -= target.successesToWarm > 0 ? 1 : 0;
+        this->reply(node, dispatch,
+                    this->draw(50) == 0 ? AnswerOutcome::ServerError : AnswerOutcome::Success);
+    }
+    void reply(int node, const Dispatch &dispatch, AnswerOutcome outcome)
+    {
+        SimulatedUpstream &target = this->upstreams[dispatch.upstream.value - 1];
+        const LoadReport report{static_cast<std::uint16_t>(target.running), 0,
+                                target.successesToWarm == 0};
+        const int copies = this->draw(20) == 0 ? 2 : 1;
+        for (int copy = 0; copy < copies; ++copy) {
+            this->at(500us, [=, this, &target] {
+                target.coldReported = !report.warm;
+                this->handle(node, this->nodes[node]->controller.onAnswer(dispatch.id, outcome,
+                                                                          true, report, this->now));
+            });
+        }
+    }
+    void tickAll()
+    {
+        for (int node = 0; node < 3; ++node)
+            this->handle(node, this->nodes[node]->controller.tick(this->now));
+    }
+    void heartbeat()
+    {
+        for (const auto &from : this->nodes)
+            for (const auto &to : this->nodes)
+                if (this->planChanges == from->plans && this->planChanges == to->plans)
+                    to->controller.lowerHandedOver(from->controller.givenUpInFlight());
+        for (const auto &from : this->nodes)
+            for (std::uint16_t id = 1; id <= 3; ++id)
+                if (from != this->nodes[id - 1U])
+                    this->nodes[id - 1U]->controller.onPeerSlots(
+                        InstanceId{static_cast<std::uint16_t>(&from - &this->nodes[0] + 1)},
+                        from->controller.freeSlots(), this->now);
+    }
+    void disturb()
+    {
+        SimulatedUpstream &target = this->upstreams[this->draw(6)];
+        if (this->draw(2) == 0 && target.hangsUntil <= this->now)
+            target.hangsUntil = this->now + this->draw(1500) * 1ms;
+        else
+            target.successesToWarm = 4;
+    }
+    /** \brief Barrier: all release before the first puts the plan in force, each at its time. */
+    void changePlan()
+    {
+        ++this->planChanges;
+        const int kind = this->draw(5);
+        PlanInstance &instance = this->plan.instances[this->draw(3)];
+        auto &changed = this->plan.services[0].upstreams[this->draw(6)];
+        // At most one instance leaves and one upstream drains at a time.
+        for (PlanInstance &other : this->plan.instances)
+            other.leaving = kind != 0 && !other.leaving && &other == &instance;
+        for (PlanUpstream &other : this->plan.services[0].upstreams)
+            other.state
+                = kind == 0 && &other == &changed ? UpstreamState::Draining : UpstreamState::Active;
+        if (kind == 1)
+            this->crash(instance.id.value - 1);
+        auto counts = std::make_shared<std::vector<InFlightCount>>();
+        for (const auto &node : this->nodes) {
+            this->at(this->draw(20) * 1ms, [=, this, next = this->plan, &node] {
+                for (const auto &count : node->controller.releaseFor(next))
+                    counts->push_back(count);
+            });
+            this->at(20ms + this->draw(100) * 1ms, [=, this, next = this->plan, &node] {
+                this->handedOver += static_cast<int>(counts->size());
+                node->controller.setPlan(next, *counts, this->now);
+                node->plans = this->planChanges;
+            });
+        }
+    }
+    /** \brief Replaces a controller; the new one knows nothing of the requests in flight. */
+    void crash(int node)
+    {
+        for (SimulatedRequest &request : this->requests)
+            request.lost = request.lost || (request.holder == node && request.verdicts() == 0);
+        this->exceeded += this->nodes[node]->counters.value("invariant_slots_exceeded");
+        const auto id = static_cast<std::uint16_t>(node + 1);
+        this->nodes[node] = std::make_unique<Node>(id, true, ++this->boots);
+    }
+
+    Random random;
+    Plan plan = planOf("xxy", "xxxxyy");
+    TimePoint now = start;
+    std::multimap<TimePoint, Action> agenda;
+    std::array<SimulatedUpstream, 6> upstreams;
+    std::uint64_t boots = 1;
+    int planChanges = 0;
+};
+
+} // namespace
+
+// Guards against upstreams that get more than they bear, requests that run twice, false or missing
+// verdicts, and retries that amplify an outage, while owners move and crash.
+TEST_CASE("admission holds its promises under faults", "[AdmissionController]")
+{
+    const std::uint64_t seed = GENERATE(range(1, 9));
+    const auto hanging = GENERATE(values<std::vector<int>>({{}, {4, 5}, {0, 4}}));
+    CAPTURE(seed, hanging);
+    Simulation simulation(seed, hanging);
+    simulation.run(30s);
+    REQUIRE(simulation.overSlots == 0);
+    REQUIRE(simulation.overCold == 0);
+    int answered = 0;
+    for (std::size_t i = 0; i < simulation.requests.size(); ++i) {
+        const SimulatedRequest &request = simulation.requests[i];
+        CAPTURE(i, request.idempotent, request.answers, request.notRun, request.mayHaveRun);
+        REQUIRE(request.verdicts() <= 1);
+        REQUIRE((request.lost || request.verdicts() == 1));
+        REQUIRE((request.notRun == 0 || request.runs == 0));
+        REQUIRE((request.answers == 0 || request.runs > 0));
+        REQUIRE((request.idempotent || (request.runs <= 1 && request.sent <= 1)));
+        answered += request.answers;
+    }
+    for (const auto &node : simulation.nodes) {
+        REQUIRE(node->controller.drained());
+        simulation.exceeded += node->counters.value("invariant_slots_exceeded");
+    }
+    REQUIRE(simulation.exceeded == 0);
+    const auto offered = static_cast<int>(simulation.requests.size());
+    REQUIRE(simulation.dispatches * 10 < offered * 12);
+    // The run must exercise what it checks.
+    REQUIRE(simulation.handedOver > 0);
+    REQUIRE(answered * 4 > offered);
+}
