--- /dev/null
+++ b/src/plan/ObjectStoreView.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include "base/Counters.h"
+#include "plan/DomainObject.h"
+#include "plan/InstanceObject.h"
+#include "plan/ObjectFault.h"
+#include "plan/ServiceObject.h"
+#include "plan/UpstreamObject.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrushgap {
+
+/** \brief An object as the store lists it. */
+struct ListedObject
+{
+    std::string key;
+    std::uint64_t version = 0;
+    boost::json::value value;
+};
+
+/** \brief An object whose newest version does not decode. */
+struct InvalidObject
+{
+    std::string key;
+    std::uint64_t version = 0;
+    std::vector<ObjectFault> faults;
+
+    friend bool operator==(const InvalidObject &, const InvalidObject &) = default;
+};
+
+/** \brief The store's objects as last seen: service/, upstream/, domain/ and instance/.
+ *
+ * An object whose newest version does not decode keeps its last good value, is listed by invalid()
+ * and counted as `object_invalid`. Events that are older than what is known are ignored and counted
+ * as `object_stale_event`, since lists and watches overlap.
+ */
+class ObjectStoreView
+{
+public:
+    enum class Outcome : std::uint8_t {
+        Changed,
+        Invalid, //!< The value does not decode; the last good one stays.
+        Stale,   //!< Not newer than what is known.
+        Ignored, //!< Not an object of this view.
+    };
+
+    explicit ObjectStoreView(Counters &counters)
+        : counters(counters)
+    {}
+
+    /** \brief Takes over one listed object or watch event; no \a value means deleted. */
+    Outcome apply(std::string_view key, std::uint64_t version,
+                  const std::optional<boost::json::value> &value);
+
+    /** \brief Takes over a list of all objects under \a prefix as of store revision \a revision. */
+    void applyList(std::string_view prefix, std::uint64_t revision,
+                   std::span<const ListedObject> objects);
+
+    /** \brief Notes that a watch of \a prefix has reported every event up to \a revision. */
+    void advance(std::string_view prefix, std::uint64_t revision);
+
+    /** \returns whether services, upstreams and domains have all been listed. */
+    [[nodiscard]] bool listed() const;
+
+    /** \returns the store revision up to which all operators' objects are known. */
+    [[nodiscard]] std::uint64_t revision() const;
+
+    /** \returns the newest version of an operator's object taken over; never goes back. */
+    [[nodiscard]] std::uint64_t configVersion() const { return this->newestConfig; }
+
+    /** \brief Objects in the order of their names. */
+    [[nodiscard]] std::vector<const ServiceObject *> services() const;
+    [[nodiscard]] std::vector<const UpstreamObject *> upstreams() const;
+    [[nodiscard]] std::vector<const DomainObject *> domains() const;
+    [[nodiscard]] std::vector<const InstanceObject *> instances() const;
+
+    [[nodiscard]] const UpstreamObject *upstream(std::string_view name) const;
+    [[nodiscard]] const DomainObject *domain(std::string_view name) const;
+
+    /** \returns the objects whose newest version does not decode. */
+    [[nodiscard]] std::vector<InvalidObject> invalid() const;
+
+private:
+    static constexpr std::size_t kindCount = 4;
+
+    template <typename Object>
+    struct Entry
+    {
+        std::uint64_t version = 0;
+        std::optional<Object> good;      //!< Empty when deleted or never valid.
+        std::vector<ObjectFault> faults; //!< Of the newest version.
+    };
+
+    template <typename Object>
+    using Entries = std::map<std::string, Entry<Object>, std::less<>>;
+
+    template <typename Object>
+    Outcome applyTo(Entries<Object> &entries, std::string_view name, std::uint64_t version,
+                    const std::optional<boost::json::value> &value);
+    template <typename Object>
+    void removeUnlisted(Entries<Object> &entries, std::string_view kind, std::string_view prefix,
+                        std::uint64_t revision, std::span<const ListedObject> objects);
+    void noteVersion(std::size_t kind, std::uint64_t version);
+
+    Counters &counters;
+    Entries<ServiceObject> serviceEntries;
+    Entries<UpstreamObject> upstreamEntries;
+    Entries<DomainObject> domainEntries;
+    Entries<InstanceObject> instanceEntries;
+    std::array<std::uint64_t, kindCount> revisions{};
+    std::array<bool, kindCount> kindListed{};
+    std::uint64_t newestConfig = 0;
+};
+
+} // namespace bulrushgap
