--- /dev/null
+++ b/src/plan/PlannerElection.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "base/KeyedHash.h"
+#include "plan/Planner.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace bulrushgap {
+
+/** \returns the live instance that acts as planner of the scope, or nullptr.
+ *
+ * It is the one with the lowest rendezvous rank of those that are not leaving. The election only
+ * avoids useless work: the conditional update decides between instances that both believe in it.
+ */
+[[nodiscard]] const LiveInstance *electPlanner(std::span<const LiveInstance> instances,
+                                               std::string_view scope, const KeyedHash &hash);
+
+/** \returns whether the instance \a self is elected. */
+[[nodiscard]] bool isPlanner(std::string_view self, std::span<const LiveInstance> instances,
+                             std::string_view scope, const KeyedHash &hash);
+
+/** \returns the identity that an instance writes into its plans. */
+[[nodiscard]] std::uint64_t planWriterId(std::string_view instance, std::uint64_t bootId,
+                                         const KeyedHash &hash);
+
+} // namespace bulrushgap
