Add PROXY header and CoAP codec

Cause: the core takes parsed packets; nothing turned datagrams into them. Ruled out: parsing options by hand (libcoap checks lengths of the known options), and references into the library's copy of the message, which would not outlive the next datagram. Conclusion: a datagram that is cut inside its payload still decodes, since CoAP over UDP has no length field; cuts before the end of the token do not.

--- /dev/null
+++ b/src/wire.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/** \file
+ * \brief Module wire: PROXY protocol header and CoAP messages. No I/O.
+ */
+#include "wire/Bytes.h"
+#include "wire/CoapBuilder.h"
+#include "wire/CoapCodec.h"
+#include "wire/CoapMessage.h"
+#include "wire/CoapParser.h"
+#include "wire/CoapWriter.h"
+#include "wire/ProxyHeader.h"
