Add peer messages, relay header and peer mesh

Cause: instances had no encoding of their messages and no connections. Ruled out: FlatBuffers tables for flow records (over 20 bytes each), and keeping two connections of a pair until both are drained, which would let a Prepared overtake its Digest. Change: schema peer.fbs with generated code (scripts/generate), MessageCodec with verifier, range checks and limits, RelayCodec, FrameReader, ByteBudget, PeerLink with two priorities and a bounded queue, PeerDialer with back-off, PeerMesh.

--- /dev/null
+++ b/src/peer/FrameReader.cpp
@@ -0,0 +1,47 @@
+#include "peer/FrameReader.h"
+
+#include "peer/MessageCodec.h"
+
+#include <cassert>
+
+namespace bulrushgap {
+
+void FrameReader::append(std::span<const std::byte> bytes)
+{
+    this->buffer.erase(this->buffer.begin(),
+                       this->buffer.begin() + static_cast<std::ptrdiff_t>(this->consumed));
+    this->consumed = 0;
+    this->buffer.insert(this->buffer.end(), bytes.begin(), bytes.end());
+}
+
+std::optional<Bytes> FrameReader::next()
+{
+    const auto rest = std::span<const std::byte>(this->buffer).subspan(this->consumed);
+    if (this->broken || rest.size() < prefixSize)
+        return std::nullopt;
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < prefixSize; ++i)
+        size |= std::to_integer<std::size_t>(rest[i]) << (8 * i);
+    if (size > maximalFrameSize) {
+        this->broken = true;
+        return std::nullopt;
+    }
+    if (rest.size() < prefixSize + size)
+        return std::nullopt;
+    this->consumed += prefixSize + size;
+    const auto message = rest.subspan(prefixSize, size);
+    return Bytes(message.begin(), message.end());
+}
+
+Bytes FrameReader::frame(std::span<const std::byte> message)
+{
+    assert(message.size() <= maximalFrameSize);
+    Bytes frame;
+    frame.reserve(prefixSize + message.size());
+    for (std::size_t i = 0; i < prefixSize; ++i)
+        frame.push_back(static_cast<std::byte>((message.size() >> (8 * i)) & 0xffU));
+    frame.insert(frame.end(), message.begin(), message.end());
+    return frame;
+}
+
+} // namespace bulrushgap
