Report no weight for draining upstreams

Cause: the plan gives a draining upstream weight 0, so its state never matched the plan and was sent to the planner every 2 s. Change: the weight of a draining upstream counts as shown by the plan.

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -765,8 +765,10 @@
                 = std::ranges::find(entry.reported, serviceId,
                                     [](const auto &reported) { return reported.status.service; });
             const bool planEjected = entry.plan.state == UpstreamState::Ejected;
-            const bool planShows = status.ejected == planEjected
-                                   && (planEjected || status.warmth == entry.plan.weight);
+            // A draining upstream has no weight, whatever it could bear.
+            const bool weightShown = planEjected || status.warmth == entry.plan.weight
+                                     || entry.plan.state == UpstreamState::Draining;
+            const bool planShows = status.ejected == planEjected && weightShown;
             const bool known = last != entry.reported.end();
             const bool fresh = known && this->latest - last->at < this->settings.statusRepeat;
             const bool same = known ? last->status == status : planShows;
--- a/tests/AdmissionController.cpp
+++ b/tests/AdmissionController.cpp
@@ -282,6 +282,10 @@
     plan.services[0].upstreams[cold.upstream.value - 1U].weight = 2;
     node.controller.setPlan(plan, {}, node.now + 2s);
     REQUIRE(node.controller.takeStatusChanges().empty());
+    plan.services[0].upstreams[0].state = UpstreamState::Draining;
+    plan.services[0].upstreams[0].weight = 0;
+    node.controller.setPlan(plan, {}, node.now + 4s);
+    REQUIRE(node.controller.takeStatusChanges().empty());
 }
 
 namespace {
