Add the administration API and the operators' command

Cause: operators had no way to change services, upstreams and failure domains. Ruled out: unconditional label writes, which overwrite a racing operator unseen; and giving up a drain at any conflict, since unrelated changes are common.

--- a/src/app/CheckCommand.cpp
+++ b/src/app/CheckCommand.cpp
@@ -1,7 +1,7 @@
 #include "app/CheckCommand.h"
 
-#include "app/CommandOptions.h"
 #include "app/SettingsKinds.h"
+#include "service/CommandOptions.h"
 #include "service/ExitCode.h"
 
 #include <boost/leaf/handle_errors.hpp>
--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -1,5 +1,6 @@
 #include "app/Commands.h"
 
+#include "admin/OperateCommand.h"
 #include "app/CheckCommand.h"
 #include "app/StandinCommands.h"
 #include "service/ExitCode.h"
@@ -58,6 +59,7 @@
 {
     static const std::array table{
         Command{"check", "checks a settings file or prints the reference of its fields", runCheck},
+        Command{"operate", "operators' command over the administration API", runOperate},
         Command{"standin", "runs a stand-in of an outside system", internal::runStandin},
     };
     return table;
--- a/src/app/StandinCommands.cpp
+++ b/src/app/StandinCommands.cpp
@@ -1,6 +1,6 @@
 #include "app/StandinCommands.h"
 
-#include "app/CommandOptions.h"
+#include "service/CommandOptions.h"
 #include "service/ExitCode.h"
 #include "service/Log.h"
 #include "standin/PlatformStandin.h"
--- a/src/service.h
+++ b/src/service.h
@@ -4,6 +4,7 @@
  * \brief Module service: settings and their check, logs, metrics, HTTP server and client.
  */
 #include "service/Backoff.h"
+#include "service/CommandOptions.h"
 #include "service/ExitCode.h"
 #include "service/Fault.h"
 #include "service/Field.h"
--- a/src/app/CommandOptions.cpp
+++ b/src/service/CommandOptions.cpp
@@ -1,4 +1,4 @@
-#include "app/CommandOptions.h"
+#include "service/CommandOptions.h"
 
 #include "service/ExitCode.h"
 
@@ -45,6 +45,14 @@
     return value == nullptr ? std::string() : *value;
 }
 
+std::vector<std::string> CommandOptions::list(const std::string &name) const
+{
+    using List = std::vector<std::string>;
+    const auto *value
+        = this->has(name) ? boost::any_cast<List>(&this->values[name].value()) : nullptr;
+    return value == nullptr ? List() : *value;
+}
+
 int CommandOptions::usageError(std::string_view message) const
 {
     std::cerr << message << "\nusage: " << this->usage << '\n';
--- a/src/app/CommandOptions.h
+++ b/src/service/CommandOptions.h
@@ -39,6 +39,9 @@
     /** \returns the value of an option of type std::string, or an empty text. */
     [[nodiscard]] std::string text(const std::string &name) const;
 
+    /** \returns the values of an option of type std::vector<std::string>, or none. */
+    [[nodiscard]] std::vector<std::string> list(const std::string &name) const;
+
     /** \brief Prints why the arguments are wrong. \returns the exit code of a usage error. */
     [[nodiscard]] int usageError(std::string_view message) const;
 
--- a/src/service/Log.cpp
+++ b/src/service/Log.cpp
@@ -98,7 +98,7 @@
 void Log::configure(std::string_view level)
 {
     const auto layout = std::make_shared<log4cxx::PatternLayout>(
-        "time=%d{yyyy-MM-dd'T'HH:mm:ss.SSSZ} level=%p module=%c %m%n");
+        "time=%d{yyyy-MM-dd}{GMT}T%d{HH:mm:ss.SSS}{GMT}Z level=%p module=%c %m%n");
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
         layout, log4cxx::ConsoleAppender::getSystemErr());
     const log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
