--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -3,6 +3,7 @@
 #include "admin/OperateCommand.h"
 #include "app/CheckCommand.h"
 #include "app/StandinCommands.h"
+#include "role/InstanceCommand.h"
 #include "service/ExitCode.h"
 
 #include <algorithm>
@@ -59,6 +60,7 @@
 {
     static const std::array table{
         Command{"check", "checks a settings file or prints the reference of its fields", runCheck},
+        Command{"instance", "runs an instance of the load balancer", runInstance},
         Command{"operate", "operators' command over the administration API", runOperate},
         Command{"standin", "runs a stand-in of an outside system", internal::runStandin},
     };
--- a/src/role/InstanceCommand.cpp
+++ b/src/role/InstanceCommand.cpp
@@ -1,6 +1,6 @@
 #include "role/InstanceCommand.h"
 
-#include "app/CommandOptions.h"
+#include "service/CommandOptions.h"
 #include "role/InstanceRole.h"
 #include "service/ExitCode.h"
 
