--- a/src/app/Commands.cpp
+++ b/src/app/Commands.cpp
@@ -5,6 +5,9 @@
 #include "app/StandinCommands.h"
 #include "role/InstanceCommand.h"
 #include "service/ExitCode.h"
+#include "standin/CallerStandin.h"
+#include "standin/FabricStandin.h"
+#include "standin/UpstreamHost.h"
 
 #include <algorithm>
 #include <array>
@@ -70,7 +73,10 @@
 std::span<const Command> standinCommands()
 {
     static const std::array table{
+        Command{"callers", "callers that load services and check what they get", runCallersStandin},
+        Command{"fabric", "fabric that hands any packet to any instance", runFabricStandin},
         Command{"platform", "object API of the platform, in memory", runPlatformStandin},
+        Command{"upstream", "upstreams of services, any number in one process", runUpstreamStandin},
     };
     return table;
 }
--- a/src/engine/ControlPath.cpp
+++ b/src/engine/ControlPath.cpp
@@ -171,6 +171,7 @@
     if (std::ranges::find(inputs.reachableDomains, this->identity.domain)
         == inputs.reachableDomains.end())
         inputs.reachableDomains.push_back(this->identity.domain);
+    inputs.storeWritable = !this->writer.inOutage(now);
     inputs.writer = planWriterId(this->identity.name, this->identity.bootId, this->hash);
     return inputs;
 }
@@ -192,7 +193,8 @@
     const auto candidate
         = this->planner.next(this->view, this->newestPlan(), this->plannerInputs(now));
     const bool due = this->pacer.due(candidate, this->newestPlan(), now);
-    if (!due && !(this->writer.unsaved() && !this->writer.inOutage(now)))
+    // An overlay is proposed again until the store has it.
+    if (!due && !this->writer.unsaved())
         return;
     if (due)
         this->pacer.proposed(now);
