--- a/src/wire/CoapMessage.h
+++ b/src/wire/CoapMessage.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 
 namespace bulrushgap {
 
@@ -62,6 +63,7 @@
     bool refresh = false; //!< Uri-Query "refresh", by which callers' stand-ins mark a refresh.
     std::optional<LoadReport> load;
     std::optional<CoapBlock> block;
+    std::string_view path; //!< Last Uri-Path option.
     std::span<const std::byte> echo;
     std::span<const std::byte> payload;
 
--- a/src/wire/CoapParser.cpp
+++ b/src/wire/CoapParser.cpp
@@ -38,6 +38,9 @@
     case coapoption::observe:
         message.observe = static_cast<std::uint32_t>(readBigEndian(value));
         break;
+    case coapoption::uriPath:
+        message.path = textOf(value);
+        break;
     case coapoption::uriQuery:
         message.refresh = message.refresh || textOf(value) == "refresh";
         break;
