--- a/src/role/DataSocket.cpp
+++ b/src/role/DataSocket.cpp
@@ -1,5 +1,7 @@
 #include "role/DataSocket.h"
 
+#include "service/UdpEndpoint.h"
+
 #include <boost/asio/buffer.hpp>
 
 #include <utility>
@@ -14,16 +16,11 @@
 /** \brief Room for bursts of the fabric while timers and peers are served. */
 constexpr int receiveBufferBytes = 4 * 1024 * 1024;
 
-boost::asio::ip::udp::endpoint toUdp(Endpoint endpoint)
-{
-    return {boost::asio::ip::address_v4(endpoint.address), endpoint.port};
-}
-
 } // namespace internal
 
 DataSocket::DataSocket(boost::asio::io_context &context, Endpoint address, Counters &counters,
                        OnDatagram onDatagram)
-    : socket(context, internal::toUdp(address))
+    : socket(context, toUdp(address))
     , counters(counters)
     , onDatagram(std::move(onDatagram))
     , buffer(internal::largestDatagram)
@@ -67,8 +64,8 @@
 void DataSocket::send(Endpoint receiver, std::span<const std::byte> datagram)
 {
     boost::system::error_code error;
-    this->socket.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
-                         internal::toUdp(receiver), 0, error);
+    this->socket.send_to(boost::asio::buffer(datagram.data(), datagram.size()), toUdp(receiver), 0,
+                         error);
     if (error)
         this->counters.add("data_send_dropped");
 }
