--- a/src/standin/InstancePoller.h
+++ b/src/standin/InstancePoller.h
@@ -1,13 +1,12 @@
 #pragma once
 
-#include "base/Endpoint.h"
+#include "base/Counters.h"
+#include "platform/PlatformClient.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
-#include <memory>
-#include <string_view>
 #include <vector>
 
 namespace bulrushgap {
@@ -16,20 +15,20 @@
 class InstancePoller
 {
 public:
-    using Handler = std::function<void(std::vector<Endpoint>)>;
+    using Handler = std::function<void(std::vector<Endpoint> dataAddresses)>;
 
     InstancePoller(boost::asio::io_context &context, Endpoint platform, Handler handler);
 
-    /** \returns data addresses of the live instances in an answer; throws if it is malformed. */
-    [[nodiscard]] static std::vector<Endpoint> parse(std::string_view body);
+    /** \returns data addresses of the live instances; malformed objects are left out. */
+    [[nodiscard]] static std::vector<Endpoint> liveOf(const std::vector<StoredObject> &objects);
 
 private:
     void poll();
 
-    boost::asio::io_context &context;
-    Endpoint platform;
+    Counters counters;
+    PlatformClient client;
     boost::asio::steady_timer timer;
-    std::shared_ptr<Handler> handler; //!< Watched by requests, owned here.
+    Handler handler;
 };
 
 } // namespace bulrushgap
