Forget a former death when a plan adds an instance's new boot

Cause: while an id was in no plan, messages of the restarted instance could not be assigned to it, so the transition that added it still counted it as dead. Arbiters sent it no unions; it forced the transition after 2 s without the exceptions and placed known flows anew. Ruled out: lost messages; the trace shows that none were sent. Change: a live instance of an adopted plan is reported alive before the transition begins.

--- a/src/engine/InstanceEngine.cpp
+++ b/src/engine/InstanceEngine.cpp
@@ -208,8 +208,15 @@
     const auto *own = plan.instance(this->identity.name);
     if (own != nullptr && own->bootId == this->identity.bootId)
         this->activate(*own, plan);
-    if (this->active)
-        this->active->router.onPlan(plan, this->current, this->outbox);
+    if (!this->active)
+        return;
+    // An id may return with the plan that adds a new boot. While the id was in no plan, messages
+    // of that boot could not be assigned to it, so its former death still stands.
+    for (const auto &instance : plan.instances) {
+        if (this->controlPath.peers().isLive(instance.name, this->current))
+            this->active->router.onInstanceAlive(instance.id);
+    }
+    this->active->router.onPlan(plan, this->current, this->outbox);
 }
 
 void InstanceEngine::activate(const PlanInstance &own, const Plan & /*plan*/)
