Let flow records agree again after instances served with different plans

Cause: after a pause or a partition, instances begin a transition with different plans in force. An arbiter named only the groups that it moved itself, so the others waited until the transition was forced. An ordinary record of the arbiter won over a digest's exception but was in no union, so two instances kept different upstreams and the flow moved to and fro. Ruled out: planned changes (no conflicting record is counted in them). Change: unions name all groups of the arbiter, contain all exceptions when a digest shows that a peer had another plan in force, and win over the receiver's records; an exception wins over an ordinary record.

--- a/src/flow/FlowStore.cpp
+++ b/src/flow/FlowStore.cpp
@@ -79,7 +79,9 @@
             const auto known = service->flows.find(flowHash, this->now);
             if (known && *known != record.upstream)
                 ++conflicts;
-            if (!known || replace)
+            // Ordinary flows are in no digest or union, so an exception has to win for all
+            // instances to agree again after they served with different plans.
+            if (!known || replace || *known == service->nextUpstream(record.bucket))
                 this->insert(*service, flowHash, record.upstream);
         }
     }
@@ -94,6 +96,18 @@
     return true;
 }
 
+bool FlowStore::hasUnmoved(std::span<const ServiceFlows> flows) const
+{
+    return std::ranges::any_of(flows, [&](const ServiceFlows &list) {
+        const auto *service = list.service.value < this->services.size()
+                                  ? this->services[list.service.value].get()
+                                  : nullptr;
+        return service != nullptr && std::ranges::any_of(list.flows, [&](const FlowRecord &record) {
+                   return record.bucket < bucketCount && !service->isMoved(record.bucket);
+               });
+    });
+}
+
 std::bitset<bucketGroupCount> FlowStore::movedGroups() const
 {
     std::bitset<bucketGroupCount> groups;
--- a/src/flow/FlowStore.h
+++ b/src/flow/FlowStore.h
@@ -81,11 +81,14 @@
     void insert(ServiceState &service, std::uint64_t flowHash, UpstreamId upstream);
 
     /** \brief Records flows that a peer knows.
-     * \param replace whether the peer's upstream wins over a recorded one.
+     * \param replace whether the peer's upstream wins over a recorded exception.
      * \returns the number of flows that were recorded with another upstream.
      */
     std::size_t merge(std::span<const ServiceFlows> flows, bool replace);
 
+    /** \returns whether a record is in a bucket that the next plan does not move here. */
+    [[nodiscard]] bool hasUnmoved(std::span<const ServiceFlows> flows) const;
+
     bool erase(ServiceState &service, std::uint64_t flowHash);
 
     /** \returns the groups that contain moved buckets. */
--- a/src/flow/Transition.cpp
+++ b/src/flow/Transition.cpp
@@ -105,6 +105,7 @@
     for (const InstanceId id : std::exchange(this->revived, {}))
         this->dead.erase(id);
     this->skipped = false;
+    this->diverged = false;
     this->dropDeparted = plan.instances.size() == 1;
     this->store.setNext(plan);
     this->peers.clear();
@@ -188,8 +189,10 @@
         this->repeatFor(from, out);
         return;
     }
-    if (this->currentPhase == Phase::Preparing)
-        this->counters.add("invariant_flow_moved", this->store.merge(digest.services, false));
+    if (this->currentPhase != Phase::Preparing)
+        return;
+    this->diverged = this->diverged || this->store.hasUnmoved(digest.services);
+    this->counters.add("invariant_flow_moved", this->store.merge(digest.services, false));
 }
 
 void Transition::onPrepared(InstanceId from, const Prepared &prepared, TimePoint now, Outbox &out)
@@ -218,7 +221,7 @@
     if (!this->accept(from, message))
         return;
     const bool preparing = this->currentPhase == Phase::Preparing;
-    this->counters.add("invariant_flow_moved", this->store.merge(message.services, preparing));
+    this->counters.add("invariant_flow_moved", this->store.merge(message.services, true));
     if (!preparing)
         return;
     Groups forward;
@@ -389,9 +392,11 @@
 {
     if (groups.none())
         return;
+    // All groups are named: a peer that had another plan in force waits for groups that are not
+    // moved here.
     for (const auto &[id, peer] : this->peers)
         if (!this->dead.contains(id))
-            this->sendUnion(id, peer.member || peer.departed ? groups & this->moved : groups, out);
+            this->sendUnion(id, groups, out);
     this->sent |= groups;
     this->united |= groups;
 }
@@ -427,7 +432,7 @@
     const auto found = this->peers.find(to);
     const bool member
         = found != this->peers.end() && (found->second.member || found->second.departed);
-    const bool movedOnly = member && this->currentPhase == Phase::Preparing;
+    const bool movedOnly = member && !this->diverged && this->currentPhase == Phase::Preparing;
     const auto send = [&](std::vector<ServiceFlows> part, bool last) {
         Union message{this->target->id, {}, std::move(part)};
         if (last)
--- a/src/flow/Transition.h
+++ b/src/flow/Transition.h
@@ -186,7 +186,8 @@
     bool baseMember = false;
     bool targetMember = false;
     bool dropDeparted = false;
-    bool skipped = false; //!< An instance passed the target over, so it cannot come into force.
+    bool diverged = false; //!< A peer had another plan in force when the transition began.
+    bool skipped = false;  //!< An instance passed the target over, so it cannot come into force.
     std::vector<InFlightCount> ownReleased;
     std::vector<InFlightCount> released;
     std::set<InstanceId> dead;
