Reset the flows of ejected upstreams

Cause: flows stayed for ever on an upstream that answers nothing. Ruled out: resets while a plan is adopted that restores the upstream; the newest plan and the one in force both have to eject it. Change: packets of such flows are answered with a reset, counted as silent_flow, and the flow is closed, so that the caller's new flow lands elsewhere.

--- a/src/engine/FlowPath.cpp
+++ b/src/engine/FlowPath.cpp
@@ -85,6 +85,12 @@
         this->reset(packet, RefusalReason::UpstreamGone, actions);
         return;
     }
+    if (this->isEjected(*upstream, service)) {
+        this->counters.refuse(RefusalReason::SilentFlow);
+        this->router.close(service.id, flowHash(packet.flow, this->hash));
+        this->reset(packet, RefusalReason::SilentFlow, actions);
+        return;
+    }
     if (const auto closed = this->gate.refusal(upstream->domain, now)) {
         this->counters.refuse(*closed);
         this->reset(packet, *closed, actions);
@@ -95,10 +101,19 @@
                                      .message = {packet.message.begin(), packet.message.end()}});
 }
 
+bool FlowPath::isEjected(const PlanUpstream &newest, const PlanService &inForce)
+{
+    // While a plan is adopted that restores the upstream, new flows may be placed on it already.
+    const auto *current = bulrushgap::findUpstream(inForce, newest.id);
+    return newest.state == UpstreamState::Ejected && current != nullptr
+           && current->state == UpstreamState::Ejected;
+}
+
 void FlowPath::reset(const Packet &packet, RefusalReason reason, Actions &actions)
 {
     // A flow that lost its upstream cannot go on; the reset makes the caller open a new one.
-    if (reason != RefusalReason::UpstreamGone && reason != RefusalReason::DomainOut)
+    if (reason != RefusalReason::UpstreamGone && reason != RefusalReason::DomainOut
+        && reason != RefusalReason::SilentFlow)
         return;
     actions.push_back(
         ResetFlow{.flow = packet.flow, .message = {packet.message.begin(), packet.message.end()}});
--- a/src/engine/FlowPath.h
+++ b/src/engine/FlowPath.h
@@ -37,6 +37,8 @@
                         TimePoint now, Actions &actions);
     void relayToArbiter(const Packet &packet, InstanceId arbiter, std::uint8_t hops,
                         Actions &actions);
+    /** \returns whether the upstream is ejected in the newest plan and in the one in force. */
+    [[nodiscard]] static bool isEjected(const PlanUpstream &newest, const PlanService &inForce);
     void reset(const Packet &packet, RefusalReason reason, Actions &actions);
 
     const InstanceIdentity &identity;
