Tell new owners the present counts of upstreams that were given up

Cause: after a planned move of ownership, the new owner counted handed-over slots as used until the longest deadline, although the former owner knew earlier that they were free. Change: the former owner repeats Prepared with its present counts when it hears the heartbeat of a peer with the same plan in force. Ruled out: confusion with the barrier; only peers that have the plan in force get the repetition.

--- a/src/engine/InstanceEngine.cpp
+++ b/src/engine/InstanceEngine.cpp
@@ -169,6 +169,27 @@
         return;
     this->active->gate.onHeartbeat(instance->domain, heartbeat.inForce, now);
     this->active->admission.onPeerSlots(instance->id, heartbeat.freeSlots, now);
+    this->sendGivenUpCounts(peer, heartbeat, actions);
+}
+
+void InstanceEngine::sendGivenUpCounts(std::string_view peer, const Heartbeat &heartbeat,
+                                       Actions &actions)
+{
+    const auto *plan = this->planInForce();
+    if (plan == nullptr || heartbeat.inForce != plan->id)
+        return;
+    auto counts = this->active->admission.givenUpInFlight();
+    if (!counts.empty())
+        actions.push_back(SendToPeer{std::string(peer), Prepared{plan->id, std::move(counts)}});
+}
+
+void InstanceEngine::onPrepared(InstanceId from, const Prepared &prepared, TimePoint now)
+{
+    // A repetition for the plan in force carries the present counts of the former owner.
+    const auto *plan = this->planInForce();
+    if (plan != nullptr && plan->id == prepared.plan)
+        this->active->admission.lowerHandedOver(prepared.inFlight);
+    this->active->router.onPrepared(from, prepared, now, this->outbox);
 }
 
 void InstanceEngine::onTransitionMessage(InstanceId from, const PeerMessage &message, TimePoint now)
@@ -177,7 +198,7 @@
     if (const auto *digest = std::get_if<Digest>(&message))
         router.onDigest(from, *digest, now, this->outbox);
     else if (const auto *prepared = std::get_if<Prepared>(&message))
-        router.onPrepared(from, *prepared, now, this->outbox);
+        this->onPrepared(from, *prepared, now);
     else if (const auto *unionMessage = std::get_if<Union>(&message))
         router.onUnion(from, *unionMessage, now, this->outbox);
     else if (const auto *inForce = std::get_if<InForce>(&message))
--- a/src/engine/InstanceEngine.h
+++ b/src/engine/InstanceEngine.h
@@ -91,6 +91,10 @@
     void activate(const PlanInstance &own, const Plan &plan);
     void onHeartbeat(std::string_view peer, const Heartbeat &heartbeat, TimePoint now,
                      Actions &actions);
+    /** \brief Tells a peer with the same plan in force the slots still used at upstreams that were
+     * given up with it. */
+    void sendGivenUpCounts(std::string_view peer, const Heartbeat &heartbeat, Actions &actions);
+    void onPrepared(InstanceId from, const Prepared &prepared, TimePoint now);
     void onTransitionMessage(InstanceId from, const PeerMessage &message, TimePoint now);
     void keepEarly(std::string_view peer, const PeerMessage &message);
     void replayEarly(TimePoint now);
