--- a/src/role/InstanceCommand.cpp
+++ b/src/role/InstanceCommand.cpp
@@ -1,7 +1,7 @@
 #include "role/InstanceCommand.h"
 
-#include "service/CommandOptions.h"
 #include "role/InstanceRole.h"
+#include "service/CommandOptions.h"
 #include "service/ExitCode.h"
 
 #include <boost/asio/signal_set.hpp>
