--- a/bench/AdmissionBench.cpp
+++ b/bench/AdmissionBench.cpp
@@ -2,12 +2,15 @@
 
 #include "AdmissionPolicy.h"
 #include "AdmissionWorld.h"
+#include "BenchOptions.h"
+
+#include <boost/json.hpp>
 
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <iostream>
 #include <string_view>
+#include <vector>
 
 namespace bulrushgap {
 
@@ -70,28 +73,51 @@
     std::cout << '\n';
 }
 
+boost::json::object toJson(const AdmissionScenario &scenario, std::string_view policy,
+                           const AdmissionFigures &figures)
+{
+    return {{"load", scenario.load},
+            {"outage", scenario.outage},
+            {"policy", policy},
+            {"offered", figures.offered},
+            {"answered", figures.answered},
+            {"refused", figures.refused},
+            {"sheds", figures.sheds},
+            {"p50Ms", milliseconds(figures.latencies, 0.5)},
+            {"p99Ms", milliseconds(figures.latencies, 0.99)},
+            {"peak", figures.peak},
+            {"outageOffered", figures.outageOffered},
+            {"outageDispatches", figures.outageDispatches},
+            {"outageAnswered", figures.outageAnswered},
+            {"returnOffered", figures.returnOffered},
+            {"returnAnswered", figures.returnAnswered}};
+}
+
 } // namespace internal
 
 int runAdmissionBench(std::span<const std::string> arguments)
 {
-    std::uint64_t seed = 1;
-    if (!arguments.empty()) {
-        const std::string &text = arguments.front();
-        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), seed);
-        if (error != std::errc{} || end != text.data() + text.size()) {
-            std::cerr << "usage: admission [SEED]\n";
-            return 2;
-        }
-    }
-    std::cout << "load        policy         goodput        p50        p99     sheds   refused"
-                 "    answered  peak\n";
+    const bench::BenchOptions options = bench::parseBenchOptions(arguments);
+    boost::json::array rows;
+    if (!options.json)
+        std::cout << "load        policy         goodput        p50        p99     sheds   refused"
+                     "    answered  peak\n";
     for (const AdmissionScenario &scenario : internal::benchScenarios) {
         for (const auto &[kind, name] : internal::benchPolicies) {
-            AdmissionWorld world(scenario, seed);
+            AdmissionWorld world(scenario, options.seed);
             const auto policy = makeAdmissionPolicy(kind, world);
-            internal::printRow(scenario, name, world.run(*policy));
+            const AdmissionFigures figures = world.run(*policy);
+            if (options.json)
+                rows.push_back(internal::toJson(scenario, name, figures));
+            else
+                internal::printRow(scenario, name, figures);
         }
     }
+    if (options.json)
+        std::cout << boost::json::object{{"bench", "admission"},
+                                         {"seed", options.seed},
+                                         {"rows", rows}}
+                  << '\n';
     return 0;
 }
 
--- a/bench/BucketBench.cpp
+++ b/bench/BucketBench.cpp
@@ -1,4 +1,7 @@
 #include "Bench.h"
+#include "BenchOptions.h"
+
+#include <boost/json.hpp>
 
 #include <algorithm>
 #include <chrono>
@@ -20,13 +23,13 @@
     double milliseconds = 0;
 };
 
-BucketResult measureBuckets(std::uint16_t upstreams, std::uint64_t bound)
+BucketResult measureBuckets(std::uint16_t upstreams, std::uint64_t bound, std::uint64_t firstSeed)
 {
     BucketResult result;
     for (int seed = 0; seed < seeds; ++seed) {
         Plan plan = makePlan(1, upstreams);
         PlanService &service = plan.services.front();
-        const KeyedHash hash(static_cast<std::uint64_t>(seed));
+        const KeyedHash hash(firstSeed + static_cast<std::uint64_t>(seed));
         const auto start = std::chrono::steady_clock::now();
         const BucketTable before(service, plan.domains, hash, bound);
         const std::chrono::duration<double, std::milli> time
@@ -50,19 +53,36 @@
     return result;
 }
 
-int runBuckets(std::span<const std::string> /*arguments*/)
+int runBuckets(std::span<const std::string> arguments)
 {
-    std::cout << "upstreams bound% peak/mean worst owned% moved% ms\n" << std::fixed;
+    const BenchOptions options = parseBenchOptions(arguments);
+    boost::json::array rows;
+    if (!options.json)
+        std::cout << "upstreams bound% peak/mean worst owned% moved% ms\n" << std::fixed;
     for (const std::uint16_t upstreams : {std::uint16_t{4}, std::uint16_t{14}}) {
         for (const std::uint64_t bound : {std::uint64_t{100}, std::uint64_t{102},
                                           std::uint64_t{103}, std::uint64_t{105}, unbounded}) {
-            const BucketResult result = measureBuckets(upstreams, bound);
+            const BucketResult result = measureBuckets(upstreams, bound, options.seed);
+            rows.push_back({{"upstreams", upstreams},
+                            {"boundPercent", bound},
+                            {"meanPeak", result.meanPeak},
+                            {"worstPeak", result.worstPeak},
+                            {"ownedPercent", result.owned},
+                            {"movedPercent", result.moved},
+                            {"milliseconds", result.milliseconds}});
+            if (options.json)
+                continue;
             std::cout << std::setw(9) << upstreams << std::setw(7) << bound << std::setprecision(3)
                       << std::setw(10) << result.meanPeak << std::setw(6) << result.worstPeak
                       << std::setprecision(2) << std::setw(7) << result.owned << std::setw(7)
                       << result.moved << std::setw(6) << result.milliseconds << '\n';
         }
     }
+    if (options.json)
+        std::cout << boost::json::object{{"bench", "buckets"},
+                                         {"seed", options.seed},
+                                         {"rows", rows}}
+                  << '\n';
     return 0;
 }
 
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -1,3 +1,4 @@
+#include "AdmissionBench.h"
 #include "Bench.h"
 
 #include <boost/program_options.hpp>
@@ -14,6 +15,7 @@
     Bench{"buckets", "imbalance, movement and time of bucket tables", runBuckets},
     Bench{"flow", "broken flows of three placement mechanisms in virtual time", runFlow},
     Bench{"flow-cost", "time and memory of one placement decision", runFlowCost},
+    Bench{"admission", "admission policies in virtual time", runAdmissionBench},
 };
 
 int usage()
