--- a/bench/Bench.h
+++ b/bench/Bench.h
@@ -19,6 +19,7 @@
 int runBuckets(std::span<const std::string> arguments);
 int runFlow(std::span<const std::string> arguments);
 int runFlowCost(std::span<const std::string> arguments);
+int runSlopes(std::span<const std::string> arguments);
 
 /** \returns a plan with one service (id 1) and one failure domain. */
 Plan makePlan(std::uint16_t instances, std::uint16_t upstreams);
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -16,6 +16,8 @@
     Bench{"flow", "broken flows of three placement mechanisms in virtual time", runFlow},
     Bench{"flow-cost", "time and memory of one placement decision", runFlowCost},
     Bench{"admission", "admission policies in virtual time", runAdmissionBench},
+    Bench{"slopes", "cost of one instance against flows, upstreams, services, instances",
+          runSlopes},
 };
 
 int usage()
