Fail the bench slopes when gnuplot cannot draw

With a missing plot directory the bench printed gnuplot's errors and ended with 0, because the status of gnuplot was not read. It is now read; the same run stops with "gnuplot failed to draw flows".

--- a/bench/SlopeBench.cpp
+++ b/bench/SlopeBench.cpp
@@ -330,10 +330,12 @@
         script << (i == 0 ? "" : ", ") << "$points using 1:" << i + 2 << " with linespoints title '"
                << series.figureNames[i] << "'";
     script << '\n';
-    const std::unique_ptr<FILE, int (*)(FILE *)> gnuplot(
+    std::unique_ptr<FILE, int (*)(FILE *)> gnuplot(
         popen("gnuplot -e 'set terminal svg size 640,420' -", "w"), pclose);
     if (gnuplot == nullptr || std::fputs(script.str().c_str(), gnuplot.get()) < 0)
         throw std::runtime_error("gnuplot cannot be run");
+    if (pclose(gnuplot.release()) != 0)
+        throw std::runtime_error("gnuplot failed to draw " + std::string(series.name));
 }
 
 int runSlopes(std::span<const std::string> arguments)
