--- a/src/flow/FlowStore.cpp
+++ b/src/flow/FlowStore.cpp
@@ -1,6 +1,7 @@
 #include "flow/FlowStore.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bulrushgap {
@@ -23,7 +24,9 @@
             state->id = service.id;
         }
         state->next = this->tableFor(service, plan);
-        state->gates = UpstreamGates(service, plan.domains);
+        const UpstreamGates gates(service, plan.domains);
+        this->forgetReturned(*state, service, gates);
+        state->gates = gates;
     }
     for (auto &state : this->services) {
         if (state == nullptr || plan.service(state->id) != nullptr)
@@ -39,6 +42,26 @@
     this->tableDomains = plan.domains;
 }
 
+void FlowStore::forgetReturned(ServiceState &state, const PlanService &service,
+                               const UpstreamGates &gates)
+{
+    std::set<UpstreamId> returned;
+    for (const PlanUpstream &upstream : service.upstreams)
+        if (gates[upstream.id] == UpstreamGate::Target
+            && state.gates[upstream.id] == UpstreamGate::Out)
+            returned.insert(upstream.id);
+    if (returned.empty())
+        return;
+    std::vector<std::uint64_t> lost;
+    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket)
+        state.flows.visitBucket(static_cast<std::uint16_t>(bucket), [&](const FlowRecord &record) {
+            if (returned.contains(record.upstream))
+                lost.push_back(flowHashOf(record));
+        });
+    for (const std::uint64_t flow : lost)
+        this->erase(state, flow);
+}
+
 void FlowStore::promote()
 {
     for (auto &state : this->services) {
--- a/src/flow/FlowStore.h
+++ b/src/flow/FlowStore.h
@@ -118,6 +118,13 @@
     void visitServices(const std::function<void(const ServiceState &)> &visit) const;
 
 private:
+    /** \brief Forgets the flows of upstreams whose failure domain returns.
+     *
+     * Their callers were told to open them anew, but only the instance that told a caller has
+     * forgotten the flow. The records of the others would come back into force with the domain, and
+     * a flow reopened from the same port would move to and fro. */
+    void forgetReturned(ServiceState &state, const PlanService &service,
+                        const UpstreamGates &gates);
     void setAge(TimePoint time);
     [[nodiscard]] std::shared_ptr<const BucketTable> tableFor(const PlanService &service,
                                                               const Plan &plan) const;
