Restart an instance that is not the planner during an outage, too

The restarted instance of platform-down is the elected planner and never gets ready, so the other case was not covered.

--- a/tests/process/faults.py
+++ b/tests/process/faults.py
@@ -16,6 +16,9 @@
 from deployment import APPLY_SECONDS, INSTANCES, Deployment, Timeout, call, observe, wait_for
 
 
+PLANNER = 4  # Elected by the names of the sample deployment's instances.
+
+
 def check_feeds(deployment, summary, *counters):
     for counter in counters:
         seen = summary["flows"][counter]
@@ -56,20 +59,21 @@
     check_feeds(deployment, summary, "stalled", "broken")
 
 
-def run_platform_down(deployment):
+def restart_in_outage(deployment, restarted):
     code, output = deployment.operated(1, "label", "upstreams", "dispatch-2", "rack=r1")
     deployment.check("label set", code == 0, output)
     version = deployment.objects("upstream/dispatch-2")["objects"][0]["version"]
     wait_for("label in force", 5, lambda: all(deployment.config(n) >= version for n in INSTANCES))
     deployment.platform_fault(outage=True)
     end = time.monotonic() + 5
-    deployment.send_signal(4, signal.SIGKILL)
-    deployment.processes["instance-4"].wait(5)
-    deployment.spawn("instance-4", "instance")
-    ready = deployment.becomes_ready(4, end - time.monotonic())
-    deployment.check("new instance ready during the outage", ready, deployment.status(4)["newest"])
+    deployment.send_signal(restarted, signal.SIGKILL)
+    deployment.processes[f"instance-{restarted}"].wait(5)
+    deployment.spawn(f"instance-{restarted}", "instance")
+    ready = deployment.becomes_ready(restarted, end - time.monotonic())
+    newest = deployment.status(restarted)["newest"]
+    deployment.check("new instance ready during the outage", ready, newest)
     # An instance that was never ready has no configuration that could be lower.
-    numbers = [number for number in INSTANCES if ready or number != 4]
+    numbers = [number for number in INSTANCES if ready or number != restarted]
     sample = lambda: min(deployment.config(number) for number in numbers)
     samples = observe(max(0.2, end - time.monotonic()), sample)
     deployment.platform_fault(outage=False)
@@ -79,6 +83,14 @@
     deployment.finish()
 
 
+def run_platform_down(deployment):
+    restart_in_outage(deployment, PLANNER)
+
+
+def run_platform_down_peer(deployment):
+    restart_in_outage(deployment, 1)
+
+
 def run_lost_answer(deployment):
     deployment.operated(1, "label", "upstreams", "dispatch-3", "rack=r1")
     revision = deployment.objects("upstream/dispatch-3")["revision"]
