--- a/scripts/demo-run.py
+++ b/scripts/demo-run.py
@@ -152,6 +152,19 @@
     return code
 
 
+def lose_flows(deployment, names):
+    """The upstreams of a domain that is serviced lose their flows; returns how many."""
+    stats = deployment.upstreams()
+    for name in names:
+        request = urllib.request.Request(
+            f"http://{deployment.network}.0.3:7102/standin/faults",
+            data=json.dumps({"upstream": name, "silentFlows": True}).encode(),
+            method="POST",
+        )
+        urllib.request.urlopen(request, timeout=2).read()
+    return sum(stats[name]["flows"] for name in names)
+
+
 def take_out(deployment, begin, domain, names):
     deployment.operate("takeout", domain)
     converge(deployment, begin, f"takeout of {domain}")
@@ -186,6 +199,7 @@
     results["exit_code"] = replace_instance(deployment, begin)
     results["late_work"] = deployment.upstreams()[plan["drain"]]["runs"] - runs
     deployment.operate("label", "upstream", plan["drain"], "state-")
+    results["lost"] = lose_flows(deployment, in_domain)
     results["leaked"] = take_out(deployment, begin, plan["domain"], in_domain)
     results["in_domain"] = in_domain
     return results
@@ -222,8 +236,9 @@
     total = lambda name: sum(u[name] for u in stats.values())
     invariants = sum(v for k, v in counters.items() if "invariant_" in k)
     checks = {
-        "a flow moved by a planned change": callers["flows"]["moved"],
-        "a feed stalled": callers["flows"]["stalled"],
+        # Flows that ended in the failure domain that was taken out are lost and opened anew.
+        "a flow moved by a planned change": max(0, callers["flows"]["moved"] - results["lost"]),
+        "a feed stalled": max(0, callers["flows"]["stalled"] - results["lost"]),
         "a wrong answer or item": callers["wrongAnswers"] + callers["flows"]["wrongItems"],
         "a booking ran twice": total("doubleRuns"),
         "a packet reached another service": total("wrongService"),
--- a/src/engine/ActiveInstance.cpp
+++ b/src/engine/ActiveInstance.cpp
@@ -20,7 +20,7 @@
           [this](ServiceId service, UpstreamId upstream) {
               return this->findUpstream(service, upstream);
           },
-          counters)
+          settings.silenceTimeout, counters)
     , requests(identity, settings.request, this->admission, this->issuer, this->ledger,
                std::move(liveBoot), counters)
 {}
--- a/src/engine/ActiveInstance.h
+++ b/src/engine/ActiveInstance.h
@@ -18,6 +18,7 @@
     TicketSettings ticket;
     RequestLedgerLimits ledger;
     RequestSettings request;
+    Duration silenceTimeout = std::chrono::seconds(10); //!< Of the flows of an ejected upstream.
 };
 
 /** \brief What an instance needs once a plan has given it an id: placement and admission. */
--- a/src/engine/FlowPath.cpp
+++ b/src/engine/FlowPath.cpp
@@ -7,12 +7,14 @@
 namespace bulrushgap {
 
 FlowPath::FlowPath(const InstanceIdentity &identity, FlowRouter &router, const DomainGate &gate,
-                   const KeyedHash &hash, FindUpstream findUpstream, Counters &counters)
+                   const KeyedHash &hash, FindUpstream findUpstream, Duration silenceTimeout,
+                   Counters &counters)
     : identity(identity)
     , router(router)
     , gate(gate)
     , hash(hash)
     , findUpstream(std::move(findUpstream))
+    , silenceTimeout(silenceTimeout)
     , counters(counters)
 {}
 
@@ -85,7 +87,7 @@
         this->reset(packet, RefusalReason::UpstreamGone, actions);
         return;
     }
-    if (this->isEjected(*upstream, service)) {
+    if (this->isSilent(*upstream, service, now)) {
         this->counters.refuse(RefusalReason::SilentFlow);
         this->router.close(service.id, flowHash(packet.flow, this->hash));
         this->reset(packet, RefusalReason::SilentFlow, actions);
@@ -101,6 +103,22 @@
                                      .message = {packet.message.begin(), packet.message.end()}});
 }
 
+bool FlowPath::isSilent(const PlanUpstream &newest, const PlanService &inForce, TimePoint now)
+{
+    if (!isEjected(newest, inForce)) {
+        if (!this->ejections.empty())
+            this->ejections.erase(newest.id);
+        return false;
+    }
+    // Without packets in between, the upstream may have been restored and ejected again.
+    constexpr Duration longestGap = std::chrono::seconds(5);
+    auto &ejection = this->ejections.try_emplace(newest.id, Ejection{now, now}).first->second;
+    if (now - ejection.lastPacket > longestGap)
+        ejection.since = now;
+    ejection.lastPacket = now;
+    return now - ejection.since >= this->silenceTimeout;
+}
+
 bool FlowPath::isEjected(const PlanUpstream &newest, const PlanService &inForce)
 {
     // While a plan is adopted that restores the upstream, new flows may be placed on it already.
--- a/src/engine/FlowPath.h
+++ b/src/engine/FlowPath.h
@@ -10,6 +10,7 @@
 #include "plan/Plan.h"
 
 #include <functional>
+#include <map>
 
 namespace bulrushgap {
 
@@ -21,7 +22,8 @@
     using FindUpstream = std::function<const PlanUpstream *(ServiceId, UpstreamId)>;
 
     FlowPath(const InstanceIdentity &identity, FlowRouter &router, const DomainGate &gate,
-             const KeyedHash &hash, FindUpstream findUpstream, Counters &counters);
+             const KeyedHash &hash, FindUpstream findUpstream, Duration silenceTimeout,
+             Counters &counters);
 
     /** \brief Handles a packet that a caller sent on a flow.
      *  \param arbiterHops relays of the packet for an arbiter's decision so far
@@ -37,6 +39,18 @@
                         TimePoint now, Actions &actions);
     void relayToArbiter(const Packet &packet, InstanceId arbiter, std::uint8_t hops,
                         Actions &actions);
+    struct Ejection
+    {
+        TimePoint since;
+        TimePoint lastPacket;
+    };
+
+    /** \returns whether the upstream has been ejected for the silence timeout.
+     *
+     * An upstream may be ejected in error, for requests only, while its feeds go on. */
+    [[nodiscard]] bool isSilent(const PlanUpstream &newest, const PlanService &inForce,
+                                TimePoint now);
+
     /** \returns whether the upstream is ejected in the newest plan and in the one in force. */
     [[nodiscard]] static bool isEjected(const PlanUpstream &newest, const PlanService &inForce);
     void reset(const Packet &packet, RefusalReason reason, Actions &actions);
@@ -46,7 +60,9 @@
     const DomainGate &gate;
     const KeyedHash &hash;
     FindUpstream findUpstream;
+    Duration silenceTimeout;
     Counters &counters;
+    std::map<UpstreamId, Ejection> ejections;
     std::uint64_t nextRelayId = 1;
 };
 
--- a/src/engine/RequestPath.cpp
+++ b/src/engine/RequestPath.cpp
@@ -247,6 +247,7 @@
     const auto *upstream = service != nullptr ? findUpstream(*service, order.upstream) : nullptr;
     if (upstream == nullptr) {
         this->counters.add("invariant_dispatch_outside_plan");
+        this->counters.refuse(RefusalReason::UpstreamGone);
         this->finish(request, Verdict::NotRun, RefusalReason::UpstreamGone, plan, actions);
         return;
     }
@@ -267,6 +268,7 @@
 {
     const auto *receiver = plan.instance(owner);
     if (receiver == nullptr) {
+        this->counters.refuse(RefusalReason::NoUpstream);
         this->finish(request, Verdict::NotRun, RefusalReason::NoUpstream, plan, actions);
         return;
     }
@@ -296,7 +298,6 @@
     const auto proof = verdict == Verdict::NotRun ? NotRunProof::UpstreamShed : NotRunProof::None;
     if (request.record && !this->ledger.refused(*request.record, reason, verdict, proof))
         verdict = Verdict::MayHaveRun;
-    this->counters.refuse(reason);
     const auto *holder = request.origin ? plan.instance(request.origin->sender) : nullptr;
     if (holder != nullptr) {
         actions.push_back(
@@ -436,6 +437,7 @@
     this->onEvents(this->admission.tick(now), nullptr, plan, now, actions);
     for (const auto handle : this->pending.expiredRelays(now)) {
         auto *request = this->pending.find(handle);
+        this->counters.refuse(RefusalReason::Deadline);
         this->finish(*request, Verdict::MayHaveRun, RefusalReason::Deadline, plan, actions);
     }
     this->pending.removeLingering(now);
--- a/src/engine/RequestPath.h
+++ b/src/engine/RequestPath.h
@@ -84,6 +84,7 @@
                   Actions &actions);
     void relayForAdmission(PendingRequest &request, InstanceId owner, const Plan &plan,
                            Actions &actions);
+    /** \brief Tells the caller or the holder of the record; the reason was counted by then. */
     void finish(PendingRequest &request, Verdict verdict, RefusalReason reason, const Plan &plan,
                 Actions &actions);
     void deliverPart(PendingRequest &request, const Packet &packet, const Plan &plan, TimePoint now,
--- a/src/flow/FlowStore.cpp
+++ b/src/flow/FlowStore.cpp
@@ -1,7 +1,6 @@
 #include "flow/FlowStore.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace bulrushgap {
@@ -25,8 +24,10 @@
         }
         state->next = this->tableFor(service, plan);
         const UpstreamGates gates(service, plan.domains);
-        this->forgetReturned(*state, service, gates);
+        const bool changed = gates != state->gates;
         state->gates = gates;
+        if (changed)
+            this->forgetLost(*state);
     }
     for (auto &state : this->services) {
         if (state == nullptr || plan.service(state->id) != nullptr)
@@ -42,20 +43,12 @@
     this->tableDomains = plan.domains;
 }
 
-void FlowStore::forgetReturned(ServiceState &state, const PlanService &service,
-                               const UpstreamGates &gates)
+void FlowStore::forgetLost(ServiceState &state)
 {
-    std::set<UpstreamId> returned;
-    for (const PlanUpstream &upstream : service.upstreams)
-        if (gates[upstream.id] == UpstreamGate::Target
-            && state.gates[upstream.id] == UpstreamGate::Out)
-            returned.insert(upstream.id);
-    if (returned.empty())
-        return;
     std::vector<std::uint64_t> lost;
     for (std::size_t bucket = 0; bucket < bucketCount; ++bucket)
         state.flows.visitBucket(static_cast<std::uint16_t>(bucket), [&](const FlowRecord &record) {
-            if (returned.contains(record.upstream))
+            if (!state.isTarget(record.upstream))
                 lost.push_back(flowHashOf(record));
         });
     for (const std::uint64_t flow : lost)
--- a/src/flow/FlowStore.h
+++ b/src/flow/FlowStore.h
@@ -118,13 +118,12 @@
     void visitServices(const std::function<void(const ServiceState &)> &visit) const;
 
 private:
-    /** \brief Forgets the flows of upstreams whose failure domain returns.
+    /** \brief Forgets the flows of upstreams that are gone or out.
      *
-     * Their callers were told to open them anew, but only the instance that told a caller has
-     * forgotten the flow. The records of the others would come back into force with the domain, and
-     * a flow reopened from the same port would move to and fro. */
-    void forgetReturned(ServiceState &state, const PlanService &service,
-                        const UpstreamGates &gates);
+     * Every instance forgets them with the plan, so that all place a flow that goes on anew by the
+     * same table. A record that only some instances forget would come back into force when the
+     * failure domain returns, and the flow would move to and fro. */
+    void forgetLost(ServiceState &state);
     void setAge(TimePoint time);
     [[nodiscard]] std::shared_ptr<const BucketTable> tableFor(const PlanService &service,
                                                               const Plan &plan) const;
--- a/src/flow/UpstreamGates.h
+++ b/src/flow/UpstreamGates.h
@@ -22,6 +22,8 @@
     UpstreamGates() = default;
     UpstreamGates(const PlanService &service, std::span<const PlanDomain> domains);
 
+    friend bool operator==(const UpstreamGates &, const UpstreamGates &) = default;
+
     [[nodiscard]] UpstreamGate operator[](UpstreamId id) const
     {
         const std::size_t index = std::size_t{id.value} - this->firstId;
--- a/src/plan/PlanWriter.cpp
+++ b/src/plan/PlanWriter.cpp
@@ -95,6 +95,9 @@
     const bool unavailable = result.kind == ReadResult::Kind::Unavailable;
     if (unavailable || (!missing && result.version < this->storeVersion)) {
         this->counters.add("plan_read_retry");
+        // An instance that starts in an outage has written nothing yet, but must be able to plan.
+        if (unavailable && !this->troubleSince)
+            this->troubleSince = now;
         this->backOff(Phase::WaitingToRead, now);
         return actions;
     }
--- a/src/role/InstanceRole.cpp
+++ b/src/role/InstanceRole.cpp
@@ -43,6 +43,7 @@
     engine.active.flow.store.idleTimeout = settings.timers.flowIdleTimeout;
     engine.active.flow.transition.limit = settings.timers.transitionLimit;
     engine.active.admission.queuePerService = settings.limits.queuePerService;
+    engine.active.silenceTimeout = settings.timers.silenceTimeout;
     engine.active.ticket.key = settings.ticketKey;
     engine.active.ticket.validity = engine.active.request.ticketValidity;
     engine.control.heartbeat = settings.timers.heartbeat;
--- a/src/standin/RequestCaller.h
+++ b/src/standin/RequestCaller.h
@@ -33,6 +33,12 @@
     [[nodiscard]] std::size_t pending() const { return this->requests.size(); }
 
 private:
+    struct Assembly
+    {
+        std::map<std::uint32_t, std::string> parts;
+        std::optional<std::uint32_t> lastPart;
+    };
+
     struct Pending
     {
         std::string id;
@@ -42,8 +48,9 @@
         TimePoint nextSend;
         Duration retryDelay{};
         Bytes ticket;
-        std::map<std::uint32_t, std::string> parts;
-        std::optional<std::uint32_t> lastPart;
+        /** A repeated request may be answered by two upstreams; parts with different ETags must
+         * not be put together (RFC 7959, section 2.4). */
+        std::map<std::string, Assembly> answers;
     };
     using Requests = std::map<Token, Pending>;
 
@@ -51,7 +58,7 @@
     void handle(std::span<const std::byte> datagram);
     void useTicket(Requests::iterator found, const CoapMessage &message);
     void addPart(Requests::iterator found, const CoapMessage &message);
-    [[nodiscard]] bool isRight(const Pending &pending) const;
+    [[nodiscard]] bool isRight(const Pending &pending, const Assembly &answer) const;
     void finish(Requests::iterator found, std::string verdict, std::string reason);
     void finishRefused(Requests::iterator found, const CoapMessage &message);
 
--- a/src/standin/UpstreamStandin.cpp
+++ b/src/standin/UpstreamStandin.cpp
@@ -231,7 +231,9 @@
     if (flow.silent || this->hangs || internal::upstreamTime() < this->collapsedUntil)
         return;
     const std::string body = this->payload("feed");
-    const CoapAnswer item{coapcode::content, {}, this->load(), body};
+    CoapAnswer item;
+    item.load = this->load();
+    item.body = body;
     this->send(caller, coapbuilder::notification(identity, ++flow.sequence, item));
 }
 
@@ -240,11 +242,17 @@
     if (this->hangs || internal::upstreamTime() < this->collapsedUntil)
         return;
     const std::string body = this->payload(job.id);
+    constexpr unsigned runBits = 32;
+    const std::uint64_t run
+        = (std::uint64_t{this->settings.address.address} << runBits) | ++this->lastRun;
     CoapIdentity identity = job.reply;
     std::vector<Bytes> messages;
     for (std::uint32_t part = 0; part < this->settings.parts; ++part) {
-        CoapAnswer answer{
-            job.booking ? coapcode::changed : coapcode::content, {}, this->load(), body};
+        CoapAnswer answer;
+        answer.code = job.booking ? coapcode::changed : coapcode::content;
+        answer.load = this->load();
+        answer.body = body;
+        answer.etag = run;
         if (this->settings.parts > 1)
             answer.block = CoapBlock{part, part + 1 < this->settings.parts};
         messages.push_back(coapbuilder::answer(identity, answer));
@@ -260,8 +268,11 @@
 void UpstreamStandin::shed(Endpoint caller, const CoapIdentity &reply)
 {
     this->counters.add("sheds");
-    this->send(caller, coapbuilder::answer(
-                           reply, {coapcode::serviceUnavailable, {}, this->load(), "shed"}));
+    CoapAnswer refusal;
+    refusal.code = coapcode::serviceUnavailable;
+    refusal.load = this->load();
+    refusal.body = "shed";
+    this->send(caller, coapbuilder::answer(reply, refusal));
 }
 
 void UpstreamStandin::send(Endpoint caller, const Bytes &message)
--- a/src/standin/UpstreamStandin.h
+++ b/src/standin/UpstreamStandin.h
@@ -98,6 +98,7 @@
     TimePoint collapsedUntil;
     bool hangs = false;
     bool drains = false;
+    std::uint32_t lastRun = 0;
     std::uint16_t nextId = 0;
     boost::asio::steady_timer feedTimer;
     DatagramSocket socket;
--- a/src/wire/CoapBuilder.cpp
+++ b/src/wire/CoapBuilder.cpp
@@ -16,6 +16,8 @@
 
 Bytes finish(CoapWriter &writer, const CoapAnswer &answer)
 {
+    if (answer.etag)
+        writer.uintOption(coapoption::etag, *answer.etag);
     if (answer.block)
         writer.blockOption(*answer.block);
     if (answer.load)
--- a/src/wire/CoapBuilder.h
+++ b/src/wire/CoapBuilder.h
@@ -32,7 +32,8 @@
 struct CoapAnswer
 {
     std::uint8_t code = coapcode::content;
-    std::optional<CoapBlock> block; //!< Number of the part in an answer of several parts.
+    std::optional<std::uint64_t> etag; //!< Equal in all parts of one answer, unique to a run.
+    std::optional<CoapBlock> block;    //!< Number of the part in an answer of several parts.
     std::optional<LoadReport> load;
     std::string_view body;
 };
--- a/src/wire/CoapMessage.h
+++ b/src/wire/CoapMessage.h
@@ -30,6 +30,7 @@
 
 /** \brief Option numbers; those from 65000 are in the range for experiments. */
 namespace coapoption {
+constexpr std::uint16_t etag = 4;
 constexpr std::uint16_t observe = 6;
 constexpr std::uint16_t uriPath = 11;
 constexpr std::uint16_t maxAge = 14;
@@ -63,7 +64,8 @@
     bool refresh = false; //!< Uri-Query "refresh", by which callers' stand-ins mark a refresh.
     std::optional<LoadReport> load;
     std::optional<CoapBlock> block;
-    std::string_view path; //!< Last Uri-Path option.
+    std::string_view path;           //!< Last Uri-Path option.
+    std::span<const std::byte> etag; //!< Equal in all parts of one answer.
     std::span<const std::byte> echo;
     std::span<const std::byte> payload;
 
--- a/src/wire/CoapParser.cpp
+++ b/src/wire/CoapParser.cpp
@@ -51,6 +51,9 @@
         message.block = CoapBlock{static_cast<std::uint32_t>(block >> 4), (block & 8U) != 0};
         break;
     }
+    case coapoption::etag:
+        message.etag = value;
+        break;
     case coapoption::echo:
         message.echo = value;
         break;
