Let the upstream stand-in give up a request at its deadline

Traced: the owner frees the slot at the deadline, when an upstream that accepts deadlines has given up, but the stand-in worked on for up to 200 ms. Ruled out: two owners, a limit above 1, copies of the same request.

--- a/src/standin/UpstreamStandin.h
+++ b/src/standin/UpstreamStandin.h
@@ -71,6 +71,9 @@
     void admit(Job job);
     void run(Job job);
     void finish(const Token &token);
+
+    /** \brief Gives up a request at its deadline, as upstreams that accept deadlines do. */
+    void abandon(const Token &token);
     void startNext();
     void collapse();
     [[nodiscard]] bool isCold() const { return this->remainingCold > 0; }
