Count a missed answer only if the upstream had the time of an attempt

Cause: with all upstreams cold, requests that waited were sent shortly before their deadline, and their misses ejected upstreams that worked (9 ejections in 8 s); a cold upstream also needs about 200 ms, which was the shortest attempt. The test of retries sends its answer 1 ms after the shortest attempt, as before.

--- a/src/admission/AdmissionController.cpp
+++ b/src/admission/AdmissionController.cpp
@@ -619,22 +619,25 @@
     attempt.missed = true;
     if (OwnedUpstream *entry = this->upstream(attempt.upstream))
         entry->ramp.onFault();
-    if (ServiceState *state = this->service(attempt.service)) {
+    // A request that was sent shortly before its deadline says nothing about the upstream.
+    ServiceState *state = this->service(attempt.service);
+    if (state != nullptr && attempt.timeout - attempt.sentAt >= this->attemptTime(*state)) {
         const bool before = state->outliers.ejected(attempt.upstream);
         state->outliers.onMissedDeadline(attempt.upstream, now);
         if (!before && state->outliers.ejected(attempt.upstream))
             this->onEjected(attempt.service, attempt.upstream, now);
     }
-    RequestState *state = this->request(attempt.handle);
-    if (!state || state->current != sequence || state->answering || !this->mayRetry(*state, now))
+    RequestState *request = this->request(attempt.handle);
+    if (!request || request->current != sequence || request->answering
+        || !this->mayRetry(*request, now))
         return;
     // Without budget, the first attempt may still answer before the deadline.
     if (!this->spendRetry(attempt.service, now)) {
         this->counters.add("retry_denied");
         return;
     }
-    ++state->unknownOutcomes;
-    this->retry(*state, attempt, RetryReason::AttemptTimeout, now);
+    ++request->unknownOutcomes;
+    this->retry(*request, attempt, RetryReason::AttemptTimeout, now);
 }
 
 void AdmissionController::onEjected(ServiceId service, UpstreamId upstream, TimePoint now)
