Let the callers of the takeout scenario run until its last wait ends

The wait for packets after the return lasted up to 8 s, but the callers stopped after about 4 s of it, so two runs failed for want of traffic. The bound stays; the callers now run 22 s.

--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -70,16 +70,17 @@
 class Deployment:
     """Processes of a sample deployment; ends exactly those on exit."""
 
-    def __init__(self, directory, network):
+    def __init__(self, directory, network, seconds=TRAFFIC_SECONDS):
         self.directory = pathlib.Path(directory)
         self.network = f"127.{network}"
+        self.seconds = seconds
         self.processes = {}
         self.started = []
         self.checks = []
 
     def __enter__(self):
         generate = [ROOT / "scripts/sample-deployment", "sajja", self.directory]
-        options = {"--seconds": TRAFFIC_SECONDS, "--feeds": FEEDS, "--scale": SCALE_PERCENT,
+        options = {"--seconds": self.seconds, "--feeds": FEEDS, "--scale": SCALE_PERCENT,
                    "--network": self.network.split(".")[1]}
         subprocess.run([sys.executable, *generate, *(str(x) for o in options.items() for x in o)],
                        check=True)
@@ -198,7 +199,7 @@
 
     def finish(self):
         """Waits for the end of the callers, checks what holds in each scenario."""
-        code = self.processes["callers"].wait(TRAFFIC_SECONDS + 10)
+        code = self.processes["callers"].wait(self.seconds + 10)
         summary = json.loads((self.directory / "callers.out").read_text())
         counts = {verdict: sum(r.values()) for verdict, r in summary["requests"].items()}
         self.check("callers ran", code == 0 and counts.get("answered", 0) > 0, counts)
--- a/tests/process/faults.py
+++ b/tests/process/faults.py
@@ -13,9 +13,12 @@
 import tempfile
 import time
 
-from deployment import APPLY_SECONDS, INSTANCES, Deployment, Timeout, call, observe, wait_for
+from deployment import (APPLY_SECONDS, INSTANCES, TRAFFIC_SECONDS, Deployment, Timeout, call,
+                        observe, wait_for)
 
 
+# Traffic of a takeout has to last until the end of the wait for packets after the return.
+TRAFFIC = {"takeout": 22}
 PLANNER = 4  # Elected by the names of the sample deployment's instances.
 
 
@@ -173,8 +176,9 @@
     parser.add_argument("--keep", help="directory that keeps logs and settings")
     options = parser.parse_args()
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
+    seconds = TRAFFIC.get(options.scenario, TRAFFIC_SECONDS)
     with tempfile.TemporaryDirectory() as temporary, Deployment(
-        options.keep or temporary, options.network
+        options.keep or temporary, options.network, seconds
     ) as deployment:
         try:
             deployment.start()
