--- a/src/admin/LabelMatcher.h
+++ b/src/admin/LabelMatcher.h
@@ -1,15 +1,17 @@
 #pragma once
 
+#include "plan/Selector.h"
+
 #include <boost/json/object.hpp>
 
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <utility>
 
 namespace bulrushgap {
 
-/** \brief Selector over the labels of an object in JSON. */
+/** \brief Applies a selector to the labels of an object in JSON. \sa Selector */
 class LabelMatcher
 {
 public:
@@ -20,18 +22,11 @@
     [[nodiscard]] bool matches(const boost::json::value &value) const;
 
 private:
-    enum class Operator { Equal, NotEqual, Present, Absent };
-
-    struct Term
-    {
-        std::string key;
-        Operator comparison = Operator::Present;
-        std::string value;
-    };
-
-    [[nodiscard]] static std::optional<Term> parseTerm(std::string_view text);
+    explicit LabelMatcher(Selector selector)
+        : selector(std::move(selector))
+    {}
 
-    std::vector<Term> terms;
+    Selector selector;
 };
 
 /** \returns the value of a label, or nothing. */
--- a/tests/InstanceEngine.cpp
+++ b/tests/InstanceEngine.cpp
@@ -1,3 +1,4 @@
+#include "support/CheckViolations.h"
 #include "support/EngineCluster.h"
 
 #include <catch2/catch.hpp>
@@ -13,17 +14,7 @@
 void requireNoViolation(const EngineCluster &cluster)
 {
     INFO(cluster.report());
-    const auto &violations = cluster.violations;
-    CHECK(violations.movedFlows == 0);
-    CHECK(violations.crossedServices == 0);
-    CHECK(violations.coldOverload == 0);
-    CHECK(violations.slotsExceeded == 0);
-    CHECK(violations.packetsToOutDomain == 0);
-    CHECK(violations.wrongAnswers == 0);
-    CHECK(violations.falseNotRun == 0);
-    CHECK(violations.doubleRuns == 0);
-    CHECK(violations.workWhileDraining == 0);
-    CHECK(violations.revertedPlans == 0);
+    checkViolations(cluster.violations);
     CHECK(cluster.invariantCounters() == 0);
 }
 
