--- a/src/engine/InstanceEngine.cpp
+++ b/src/engine/InstanceEngine.cpp
@@ -228,7 +228,7 @@
 {
     const auto *own = plan.instance(this->identity.name);
     if (own != nullptr && own->bootId == this->identity.bootId)
-        this->activate(*own, plan);
+        this->activate(*own);
     if (!this->active)
         return;
     // An id may return with the plan that adds a new boot. While the id was in no plan, messages
@@ -240,7 +240,7 @@
     this->active->router.onPlan(plan, this->current, this->outbox);
 }
 
-void InstanceEngine::activate(const PlanInstance &own, const Plan & /*plan*/)
+void InstanceEngine::activate(const PlanInstance &own)
 {
     if (this->active && this->identity.id == own.id)
         return;
--- a/src/engine/InstanceEngine.h
+++ b/src/engine/InstanceEngine.h
@@ -88,7 +88,7 @@
     void relayToReadyPeer(const Packet &packet, const RelayHeader *header, TimePoint now,
                           Actions &actions);
     void onNewestPlan(const Plan &plan);
-    void activate(const PlanInstance &own, const Plan &plan);
+    void activate(const PlanInstance &own);
     void onHeartbeat(std::string_view peer, const Heartbeat &heartbeat, TimePoint now,
                      Actions &actions);
     /** \brief Tells a peer with the same plan in force the slots still used at upstreams that were
