--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -2,8 +2,9 @@
 set(Boost_USE_STATIC_LIBS ON)
 find_package(Boost 1.81 REQUIRED COMPONENTS program_options json url)
 
-file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp src/balance/*.cpp src/base/*.cpp
-     src/service/*.cpp)
+file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp src/balancer/*.cpp src/base/*.cpp
+     src/coldstart/*.cpp src/directory/*.cpp src/health/*.cpp src/placement/*.cpp src/service/*.cpp
+     src/steering/*.cpp src/view/*.cpp)
 list(FILTER PLATFORM_SOURCES EXCLUDE REGEX "src/service/(Log4cxxSink|InstanceSettings)\\.cpp$")
 add_executable(
     bulrushgap
@@ -14,15 +15,11 @@
     src/app/PlatformCommandTable.cpp
     src/role/BalancerCommand.cpp
     src/role/BalancerRole.cpp
-    src/role/FlowNames.cpp
-    src/role/MemberRegistration.cpp
-    src/role/ObjectMirror.cpp
+    src/role/ConnectionProber.cpp
+    src/role/MirrorServer.cpp
     src/role/PacketPort.cpp
-    src/role/SourcedStore.cpp
-    src/role/UpstreamProber.cpp
-    src/role/ViewFollower.cpp
-    src/store/ObjectStore.cpp
-    src/store/ObjectWatch.cpp)
+    src/store/CallResult.cpp
+    src/store/ObjectStore.cpp)
 target_include_directories(bulrushgap PRIVATE src ${CMAKE_CURRENT_SOURCE_DIR})
 target_compile_definitions(bulrushgap PRIVATE BULRUSHGAP_VERSION="${PROJECT_VERSION}")
 target_compile_options(bulrushgap PRIVATE -Wall -Wextra -O2 -ffunction-sections -fdata-sections)
--- /dev/null
+++ b/src/balancer.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** \file
+ * \brief Module balancer: one instance on the platform without its I/O.
+ */
+#include "balancer/Balancer.h"
+#include "balancer/BalancerProfile.h"
--- /dev/null
+++ b/src/balancer/Balancer.cpp
@@ -0,0 +1,293 @@
+#include "balancer/Balancer.h"
+
+#include "steering/FlowNames.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+/** Ticks closer together than this cost more wake-ups than earlier detection is worth. */
+constexpr Duration tickGranularity = std::chrono::milliseconds(8);
+
+/** Packets that came while the view was being read are passed on if that took no longer; callers
+ * send their packets again after 200 ms. */
+constexpr Duration longestPacketWait = std::chrono::milliseconds(400);
+
+/** At the very first start all instances register before any looks for the others. */
+constexpr Duration firstStartDelay = std::chrono::milliseconds(800);
+
+constexpr Duration statusInterval = std::chrono::seconds(5);
+
+std::string_view beliefCounter(Liveness liveness)
+{
+    switch (liveness) {
+    case Liveness::Alive:
+        return "upstream_alive";
+    case Liveness::Suspect:
+        return "upstream_suspect";
+    case Liveness::Refusing:
+        return "upstream_refusing";
+    case Liveness::Unreachable:
+        return "upstream_unreachable";
+    }
+    return "upstream_alive";
+}
+
+std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+} // namespace internal
+
+Balancer::Balancer(BalancerProfile profile, const Scheduler &scheduler, ObjectSource &store,
+                   ObjectWriter &writer, Random &random, Counters &counters, Log &log,
+                   BalancerHooks hooks)
+    : profile(std::move(profile))
+    , scheduler(scheduler)
+    , store(store)
+    , counters(counters)
+    , log(log)
+    , hooks(std::move(hooks))
+    , directory([this](const DirectoryChange &change) { this->logDirectoryChange(change); })
+    , steering({this->profile.self.domain, this->profile.flowCapacity}, this->directory,
+               this->routes, random, this->steeringHooks())
+    , sources(this->profile.self.name, this->profile.self.domain)
+    , sourcedStore(scheduler, store, this->sources, counters, log,
+                   {this->hooks.connectPeer,
+                    [this] {
+                        this->mirror.refuseWaiting();
+                    }})
+    , mirror(scheduler, [this] { return this->mayServeView(); })
+    , sweeper(scheduler, writer, this->profile.self.name, counters, log, this->sweeperHooks())
+    , view(scheduler, this->sourcedStore, random,
+           {this->directory, this->routes, this->steering, this->sources, this->mirror,
+            this->sweeper},
+           counters, log, [this] { this->onViewChange(); })
+    , registration(scheduler, writer, random, this->profile.self, log)
+{}
+
+SteeringHooks Balancer::steeringHooks()
+{
+    SteeringHooks result;
+    result.startProbe = [this](UpstreamIndex upstream) {
+        this->startProbe(upstream);
+    };
+    result.startWitness = [this](UpstreamIndex upstream) {
+        this->startWitness(upstream);
+    };
+    result.onBelief = [this](UpstreamIndex upstream, Liveness before, std::string_view evidence) {
+        this->onBelief(upstream, before, evidence);
+    };
+    result.sharesBudget = [this](std::string_view upstream, unsigned count) {
+        return this->sources.isChosen(upstream, count);
+    };
+    result.verifyView = [this] {
+        this->view.verifyUpstreams(this->store);
+    };
+    result.resetFlow = [this](const FlowPacket &flow, UpstreamIndex upstream) {
+        this->hooks.resetCaller(flow);
+        this->log.info("flow_reset", {{"flow", flowName(flow)},
+                                      {"reason", "upstream_unreachable"},
+                                      {"upstream", this->directory.at(upstream).entry.name}});
+    };
+    result.latency = this->hooks.latency;
+    return result;
+}
+
+MemberSweeperHooks Balancer::sweeperHooks()
+{
+    return {[this](Endpoint peer, MemberSweeperHooks::CheckHandler handler) {
+                this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
+                    handler(result == ProbeResult::Connected);
+                });
+            },
+            [this] {
+                return this->sourcedStore.isDirect();
+            }};
+}
+
+void Balancer::startProbe(UpstreamIndex upstream)
+{
+    this->counters.add("probe");
+    const TimePoint startedAt = this->scheduler.now();
+    this->hooks.probe(this->directory.at(upstream).entry.address,
+                      [this, upstream, startedAt](ProbeResult result) {
+                          this->steering.probed(upstream, result, startedAt, this->scheduler.now());
+                          this->armTick();
+                      });
+}
+
+void Balancer::startWitness(UpstreamIndex upstream)
+{
+    this->counters.add("probe_witness");
+    const TimePoint startedAt = this->scheduler.now();
+    this->hooks.probe(this->directory.at(upstream).entry.address,
+                      [this, startedAt](ProbeResult result) {
+                          if (result == ProbeResult::Connected)
+                              this->steering.witnessed(startedAt, this->scheduler.now());
+                      });
+}
+
+void Balancer::start()
+{
+    this->startedAt = this->scheduler.now();
+    this->reportStatus();
+    this->sweeper.start();
+    if (!this->profile.firstStart) {
+        this->view.start();
+        return;
+    }
+    this->registration.ensure();
+    this->startTimer
+        = this->scheduler.after(internal::firstStartDelay, [this] { this->view.start(); });
+}
+
+void Balancer::beginStop()
+{
+    if (std::exchange(this->stopping, true))
+        return;
+    this->log.info("stop", {{"flows", this->steering.flowCount()},
+                            {"delay_ms", internal::toMilliseconds(this->profile.stopDelay)}});
+    // The routers leave this instance out after its next readiness checks; until then packets come.
+    this->mirror.refuseWaiting();
+    this->stopTimer
+        = this->scheduler.after(this->profile.stopDelay, [this] { this->hooks.onStopped(); });
+}
+
+SteeringDecision Balancer::decide(const FlowPacket &packet, std::span<const std::byte> datagram,
+                                  TimePoint now)
+{
+    const SteeringDecision decision = this->steering.decide(packet, now);
+    ++this->decisions.at(static_cast<std::size_t>(decision.reason));
+    this->record(decision, packet, datagram);
+    return decision;
+}
+
+void Balancer::record(const SteeringDecision &decision, const FlowPacket &packet,
+                      std::span<const std::byte> datagram)
+{
+    const bool usual = decision.reason == SteeringReason::KnownUpstream;
+    if (usual && packet.dataBytes == 0)
+        return;
+    const std::string_view request
+        = packet.dataBytes > 0 ? requestIdIn(datagram) : std::string_view();
+    if (usual && request.empty())
+        return;
+    const std::string_view upstream
+        = decision.upstream == noUpstream
+              ? std::string_view("none")
+              : std::string_view(this->directory.at(decision.upstream).entry.name);
+    if (packet.syn) {
+        const PlacementChoice &choice = this->steering.lastChoice();
+        this->log.info("flow_placed", {{"flow", flowName(packet)},
+                                       {"copy", packet.acknowledged},
+                                       {"outcome", toString(decision.reason)},
+                                       {"upstream", upstream},
+                                       {"candidates", choice.candidates},
+                                       {"score", choice.score},
+                                       {"version", this->routes.version()}});
+        return;
+    }
+    this->log.info(usual ? "request" : "packet_refused", {{"flow", flowName(packet)},
+                                                          {"request", request},
+                                                          {"outcome", toString(decision.reason)},
+                                                          {"upstream", upstream},
+                                                          {"version", this->routes.version()}});
+}
+
+void Balancer::armTick()
+{
+    const auto next = this->steering.nextTick();
+    if (!next)
+        return;
+    if (this->tickArmedFor && *this->tickArmedFor <= *next + internal::tickGranularity)
+        return;
+    const TimePoint now = this->scheduler.now();
+    const TimePoint at = std::max(*next, now + internal::tickGranularity);
+    this->tickArmedFor = at;
+    this->tickTimer = this->scheduler.after(at - now, [this] { this->onTick(); });
+}
+
+void Balancer::onTick()
+{
+    this->tickArmedFor.reset();
+    this->steering.tick(this->scheduler.now());
+    this->armTick();
+}
+
+void Balancer::reportStatus()
+{
+    this->log.info("status", {{"flows", this->steering.flowCount()},
+                              {"upstreams", this->directory.listedCount()},
+                              {"version", this->routes.version()},
+                              {"instances", this->sources.instances()},
+                              {"direct", this->sourcedStore.isDirect() ? 1 : 0},
+                              {"store_lists", this->counters.value("store_list")},
+                              {"store_watches", this->counters.value("store_watch")},
+                              {"store_writes", this->counters.value("store_write")},
+                              {"probes", this->counters.value("probe")}});
+    this->statusTimer
+        = this->scheduler.after(internal::statusInterval, [this] { this->reportStatus(); });
+}
+
+void Balancer::onViewChange()
+{
+    this->armTick();
+    if (!this->view.isComplete())
+        return;
+    if (!std::exchange(this->ready, true))
+        this->becomeReady();
+    if (!this->stopping && !this->view.hasMember(this->profile.self))
+        this->registration.ensure();
+}
+
+void Balancer::becomeReady()
+{
+    this->sources.started();
+    const bool late = this->scheduler.now() - this->startedAt > internal::longestPacketWait;
+    this->hooks.onReady(late);
+    this->log.info("ready", {{"upstreams", this->directory.listedCount()},
+                             {"routes", this->routes.size()},
+                             {"version", this->routes.version()}});
+}
+
+void Balancer::onBelief(UpstreamIndex upstream, Liveness before, std::string_view evidence)
+{
+    const Upstream &subject = this->directory.at(upstream);
+    const Duration silence = this->scheduler.now() - subject.health.lastAnswer();
+    this->counters.add(internal::beliefCounter(subject.health.liveness()));
+    this->log.info("upstream_belief", {{"upstream", subject.entry.name},
+                                       {"domain", subject.entry.domain},
+                                       {"before", toString(before)},
+                                       {"after", toString(subject.health.liveness())},
+                                       {"evidence", evidence},
+                                       {"last_answer_ms", internal::toMilliseconds(silence)},
+                                       {"flows", subject.openFlows}});
+}
+
+void Balancer::logDirectoryChange(const DirectoryChange &change)
+{
+    const Upstream &subject = this->directory.at(change.upstream);
+    const UpstreamEntry &entry = subject.entry;
+    this->log.info("upstream_entry",
+                   {{"upstream", entry.name},
+                    {"change", toString(change.kind)},
+                    {"service", entry.service},
+                    {"domain", entry.domain},
+                    {"address", entry.address.toString()},
+                    {"revision", subject.revision},
+                    {"slow_start_ms", internal::toMilliseconds(entry.slowStart)}});
+}
+
+bool Balancer::mayServeView()
+{
+    if (!this->sources.followsStore())
+        this->sources.demanded(this->scheduler.now());
+    return !this->stopping && this->sourcedStore.isDirect() && this->view.isComplete();
+}
+
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/base/Scheduler.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "base/Time.h"
+
+#include <functional>
+#include <memory>
+#include <utility>
+
+namespace bulrushgap {
+
+/** \brief Clock and timers of code that does no I/O of its own: real ones, or virtual time. */
+class Scheduler
+{
+public:
+    using Handler = std::function<void()>;
+
+    /** \brief Owns a call that is due later; destroying it cancels the call. */
+    using Timer = std::shared_ptr<void>;
+
+    using Clock = std::function<TimePoint()>;
+    using Starter = std::function<Timer(Duration delay, Handler handler)>;
+
+    Scheduler(Clock clock, Starter starter)
+        : clock(std::move(clock))
+        , starter(std::move(starter))
+    {}
+
+    [[nodiscard]] TimePoint now() const { return this->clock(); }
+
+    /** \brief Calls \a handler after \a delay, never from within this function. */
+    [[nodiscard]] Timer after(Duration delay, Handler handler) const
+    {
+        return this->starter(delay, std::move(handler));
+    }
+
+private:
+    Clock clock;
+    Starter starter;
+};
+
+} // namespace bulrushgap
--- a/src/balance/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "balance/Configuration.h"
 #include "base/Time.h"
+#include "directory/Configuration.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <boost/unordered/unordered_flat_set.hpp>
--- a/src/balance/Upstream.h
+++ b/src/directory/Upstream.h
@@ -1,15 +1,16 @@
 #pragma once
 
-#include "balance/ColdStartBudget.h"
-#include "balance/UpstreamEntry.h"
-#include "balance/UpstreamHealth.h"
 #include "base/Time.h"
+#include "coldstart/ColdStartBudget.h"
+#include "directory/UpstreamEntry.h"
+#include "health/UpstreamHealth.h"
 
 #include <cstdint>
 
 namespace bulrushgap::balance {
 
-/** \brief Position of an upstream in the UpstreamDirectory; never used again for another. */
+/** \brief Position of an upstream in the UpstreamDirectory; used for another one only long after
+ * the upstream has left and no flow of it is known. */
 using UpstreamIndex = std::uint32_t;
 
 constexpr UpstreamIndex noUpstream = UINT32_MAX;
--- a/src/balance/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -1,4 +1,4 @@
-#include "balance/UpstreamDirectory.h"
+#include "directory/UpstreamDirectory.h"
 
 #include <algorithm>
 #include <utility>
@@ -14,6 +14,9 @@
  * within two seconds. */
 constexpr Duration lapseGrace = std::chrono::milliseconds(2'200);
 
+/** How long an upstream stays known after it left; flows live a minute at most. */
+constexpr Duration forgetDelay = std::chrono::minutes(3);
+
 } // namespace internal
 
 std::string_view toString(DirectoryChange::Kind kind)
@@ -60,10 +63,16 @@
     this->rebuildCandidates();
 }
 
-void UpstreamDirectory::put(const RegistryEntry &entry, TimePoint now)
+void UpstreamDirectory::update(std::span<const RegistryChange> changes, TimePoint now)
 {
-    this->apply(entry, now);
-    this->rebuildCandidates();
+    for (const RegistryChange &change : changes) {
+        if (change.entry)
+            this->apply({*change.entry, change.revision}, now);
+        else
+            this->remove(change.name, change.revision, now);
+    }
+    if (!changes.empty())
+        this->rebuildCandidates();
 }
 
 void UpstreamDirectory::apply(const RegistryEntry &entry, TimePoint now)
@@ -72,25 +81,36 @@
     if (found == this->byName.end())
         this->add(entry, now);
     else
-        this->update(this->upstreams[found->second], found->second, entry, now);
+        this->replace(found->second, entry, now);
 }
 
 void UpstreamDirectory::add(const RegistryEntry &entry, TimePoint now)
 {
-    const auto index = static_cast<UpstreamIndex>(this->upstreams.size());
-    Upstream upstream;
+    const UpstreamIndex index = this->newIndex();
+    Upstream &upstream = this->upstreams[index];
+    upstream.listed = true;
     upstream.entry = entry.entry;
     upstream.revision = entry.revision;
     upstream.coldUntil = now + entry.entry.slowStart;
-    this->upstreams.push_back(std::move(upstream));
     this->byName.emplace(entry.entry.name, index);
     this->indexTag(index);
     this->announce(DirectoryChange::Kind::Added, index);
 }
 
-void UpstreamDirectory::update(Upstream &upstream, UpstreamIndex index, const RegistryEntry &entry,
-                               TimePoint now)
+UpstreamIndex UpstreamDirectory::newIndex()
 {
+    if (this->unused.empty()) {
+        this->upstreams.emplace_back();
+        return static_cast<UpstreamIndex>(this->upstreams.size() - 1);
+    }
+    const UpstreamIndex index = this->unused.back();
+    this->unused.pop_back();
+    return index;
+}
+
+void UpstreamDirectory::replace(UpstreamIndex index, const RegistryEntry &entry, TimePoint now)
+{
+    Upstream &upstream = this->upstreams[index];
     if (entry.revision != 0 && entry.revision < upstream.revision)
         return;
     const bool wasListed = std::exchange(upstream.listed, true);
@@ -125,7 +145,6 @@
     if (revision != 0 && revision < this->upstreams[found->second].revision)
         return;
     this->unlist(found->second, now);
-    this->rebuildCandidates();
 }
 
 void UpstreamDirectory::unlist(UpstreamIndex index, TimePoint now)
@@ -140,12 +159,38 @@
 
 void UpstreamDirectory::expire(TimePoint now)
 {
+    this->forgetGone(now);
     if (this->lapsed.empty() || now < this->lapseEndsAt)
         return;
     this->lapsed.clear();
     this->rebuildCandidates();
 }
 
+void UpstreamDirectory::forgetGone(TimePoint now)
+{
+    for (UpstreamIndex index = 0; index < this->upstreams.size(); ++index) {
+        const Upstream &upstream = this->upstreams[index];
+        const bool known = !upstream.entry.name.empty();
+        const bool inUse = upstream.openFlows > 0 || upstream.underWatch;
+        if (known && !upstream.listed && !inUse
+            && now - upstream.unlistedAt > internal::forgetDelay)
+            this->forget(index);
+    }
+}
+
+void UpstreamDirectory::forget(UpstreamIndex index)
+{
+    Upstream &upstream = this->upstreams[index];
+    this->byName.erase(upstream.entry.name);
+    const auto tagged = this->byTag.find(upstream.flowTag);
+    if (tagged != this->byTag.end() && tagged->second == index)
+        this->byTag.erase(tagged);
+    this->lapsed.erase(index);
+    upstream = Upstream{};
+    upstream.listed = false;
+    this->unused.push_back(index);
+}
+
 void UpstreamDirectory::indexTag(UpstreamIndex index)
 {
     Upstream &upstream = this->upstreams[index];
--- a/src/balance/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "balance/Upstream.h"
 #include "base/KeyedHash.h"
+#include "directory/Upstream.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -24,6 +24,14 @@
     std::uint64_t revision = 0;
 };
 
+/** \brief News of one entry. */
+struct RegistryChange
+{
+    std::string name;
+    std::uint64_t revision = 0;
+    std::optional<UpstreamEntry> entry; //!< Nothing if it was removed, or names no upstream.
+};
+
 /** \brief A change that the directory has made of its beliefs, for the log. */
 struct DirectoryChange
 {
@@ -37,9 +45,9 @@
 
 /** \brief Upstreams by index, flow tag and service, and the evacuated failure domains.
  *
- * An upstream that leaves the registry takes no new flows, but stays known for as long as a flow
- * can live, so that its flows still find it. Answers entries that lapse while the registry is down:
- * for a while they stay usable.
+ * An upstream that leaves the registry takes no new flows, but stays known for longer than a flow
+ * can live, so that its flows still find it; then its index may name another one. Answers entries
+ * that lapse while the registry is down: for a while they stay usable.
  */
 class UpstreamDirectory
 {
@@ -54,8 +62,9 @@
 
     /** \brief Replaces all entries. */
     void replaceAll(std::span<const RegistryEntry> entries, TimePoint now);
-    void put(const RegistryEntry &entry, TimePoint now);
-    void remove(std::string_view name, std::uint64_t revision, TimePoint now);
+
+    /** \brief Applies news in their order; older than what is known, they change nothing. */
+    void update(std::span<const RegistryChange> changes, TimePoint now);
 
     /** \brief Ends the use of entries that did not come back, forgets those gone for long. */
     void expire(TimePoint now);
@@ -77,6 +86,8 @@
 
     [[nodiscard]] Upstream &at(UpstreamIndex index) { return this->upstreams[index]; }
     [[nodiscard]] const Upstream &at(UpstreamIndex index) const { return this->upstreams[index]; }
+
+    /** \returns the number of indexes; those of forgotten upstreams have no name. */
     [[nodiscard]] std::size_t size() const { return this->upstreams.size(); }
     [[nodiscard]] std::size_t listedCount() const;
 
@@ -85,8 +96,12 @@
 
     void apply(const RegistryEntry &entry, TimePoint now);
     void add(const RegistryEntry &entry, TimePoint now);
-    void update(Upstream &upstream, UpstreamIndex index, const RegistryEntry &entry, TimePoint now);
+    void replace(UpstreamIndex index, const RegistryEntry &entry, TimePoint now);
+    void remove(std::string_view name, std::uint64_t revision, TimePoint now);
     void unlist(UpstreamIndex index, TimePoint now);
+    void forgetGone(TimePoint now);
+    void forget(UpstreamIndex index);
+    [[nodiscard]] UpstreamIndex newIndex();
     void indexTag(UpstreamIndex index);
     void rebuildCandidates();
     void announce(DirectoryChange::Kind kind, UpstreamIndex index);
@@ -98,7 +113,8 @@
     boost::unordered_flat_map<std::uint32_t, UpstreamIndex> byTag;
     Candidates byService;
     std::set<std::string, std::less<>> evacuated;
-    std::set<UpstreamIndex> lapsed; //!< Unlisted after an outage, still usable.
+    std::vector<UpstreamIndex> unused; //!< Indexes of forgotten upstreams.
+    std::set<UpstreamIndex> lapsed;    //!< Unlisted after an outage, still usable.
     TimePoint lapseEndsAt{};
 };
 
--- a/src/balance/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -1,6 +1,7 @@
-#include "balance/UpstreamHealth.h"
+#include "health/UpstreamHealth.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bulrushgap::balance {
 
@@ -91,15 +92,17 @@
         break;
     case ProbeResult::TimedOut:
         this->refusals = 0;
-        if (++this->timeouts >= internal::unreachableTimeouts)
-            this->belief = Liveness::Unreachable;
-        else if (this->probesInFlight == 0)
-            this->nextProbe = now;
-        else
-            this->nextProbe.reset();
+        ++this->timeouts;
+        this->judgeTimeouts(now);
+        break;
+    case ProbeResult::Undecided:
+        this->refusals = 0;
+        ++this->undecided;
+        this->judgeTimeouts(now);
         break;
     case ProbeResult::Connected:
         this->timeouts = 0;
+        this->undecided = 0;
         this->refusals = 0;
         this->belief = Liveness::Suspect;
         if (this->clearedAt == TimePoint{} || now - this->clearedAt > internal::probeDistrust) {
@@ -111,6 +114,24 @@
     return this->belief != before || this->refusals == internal::provingRefusals;
 }
 
+bool UpstreamHealth::acceptUndecided(TimePoint now)
+{
+    const Liveness before = this->belief;
+    this->timeouts += std::exchange(this->undecided, 0U);
+    this->judgeTimeouts(now);
+    return this->belief != before;
+}
+
+void UpstreamHealth::judgeTimeouts(TimePoint now)
+{
+    if (this->timeouts >= internal::unreachableTimeouts)
+        this->belief = Liveness::Unreachable;
+    else if (this->probesInFlight == 0)
+        this->nextProbe = now;
+    else
+        this->nextProbe.reset();
+}
+
 bool UpstreamHealth::isProvenDead() const
 {
     return this->belief == Liveness::Unreachable
@@ -130,6 +151,7 @@
 {
     this->belief = next;
     this->timeouts = 0;
+    this->undecided = 0;
     this->refusals = 0;
     this->probeInterval = internal::firstProbeInterval;
     this->nextProbe.reset();
--- a/src/balance/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -18,7 +18,12 @@
 
 [[nodiscard]] std::string_view toString(Liveness liveness);
 
-enum class ProbeResult { Connected, Refused, TimedOut };
+enum class ProbeResult {
+    Connected,
+    Refused,
+    TimedOut,  //!< No answer, while another upstream answered in the same time.
+    Undecided, //!< No answer, and none of another either: this instance may be the reason.
+};
 
 /** \brief Failure detection for one upstream from answers that are due and from probes.
  *
@@ -47,6 +52,10 @@
      */
     void excuse() { this->answerDue.reset(); }
 
+    /** \brief Undecided probes count as timed out: this instance has heard nobody for so long that
+     * it must be cut off. \returns whether the belief changed. */
+    bool acceptUndecided(TimePoint now);
+
     /** \brief Forgets everything, as after a restart of the upstream. */
     void reset() { *this = UpstreamHealth(); }
 
@@ -64,6 +73,7 @@
     void probeStarted(TimePoint now);
 
 private:
+    void judgeTimeouts(TimePoint now);
     void enter(Liveness next, TimePoint now);
 
     Liveness belief = Liveness::Alive;
@@ -73,8 +83,9 @@
     TimePoint clearedAt{}; //!< Last time that a probe alone ended a suspicion.
     Duration probeInterval{};
     unsigned probesInFlight = 0;
-    unsigned timeouts = 0; //!< Probes in a row without an answer.
-    unsigned refusals = 0; //!< Probes in a row that were refused.
+    unsigned timeouts = 0;  //!< Probes in a row without an answer.
+    unsigned undecided = 0; //!< Probes in a row without an answer that prove nothing yet.
+    unsigned refusals = 0;  //!< Probes in a row that were refused.
 };
 
 } // namespace bulrushgap::balance
--- a/src/balance/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -1,4 +1,4 @@
-#include "balance/Placement.h"
+#include "placement/Placement.h"
 
 #include <algorithm>
 #include <utility>
@@ -17,7 +17,7 @@
 constexpr double suspectPenalty = 100.0;
 constexpr double triedDomainPenalty = 200.0;
 constexpr double triedPenalty = 300.0;
-constexpr double deadPenalty = 1'000.0;
+constexpr double refusingPenalty = 1'000.0;
 constexpr double tieBreak = 0.01;
 
 double livenessPenalty(Liveness liveness)
@@ -29,7 +29,7 @@
         return suspectPenalty;
     case Liveness::Refusing:
     case Liveness::Unreachable:
-        return deadPenalty;
+        return refusingPenalty;
     }
     return 0.0;
 }
@@ -66,6 +66,9 @@
             for (std::size_t i = 0; i < internal::maxSamples; ++i)
                 this->consider(candidates[(start + i) % candidates.size()], limits, now, choice);
         }
+        // A refusal must be true of all of them.
+        for (std::size_t i = 0; i < candidates.size() && choice.upstream == noUpstream; ++i)
+            this->consider(candidates[i], limits, now, choice);
     }
     if (choice.upstream != noUpstream) {
         Upstream &upstream = this->directory.at(choice.upstream);
@@ -79,6 +82,10 @@
                          PlacementChoice &choice)
 {
     Upstream &upstream = this->directory.at(index);
+    if (upstream.health.isProvenDead()) {
+        ++choice.unreachable;
+        return;
+    }
     if (now < upstream.coldUntil && !upstream.coldBudget.available(now)) {
         ++choice.withoutBudget;
         return;
--- a/src/balance/Placement.h
+++ b/src/placement/Placement.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "balance/FlowTracker.h"
-#include "balance/UpstreamDirectory.h"
 #include "base/Time.h"
+#include "directory/UpstreamDirectory.h"
+#include "steering/FlowTracker.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -25,6 +25,7 @@
     UpstreamIndex upstream = noUpstream;
     std::size_t candidates = 0;
     std::size_t withoutBudget = 0; //!< Cold upstreams that can't take a flow now.
+    std::size_t unreachable = 0;   //!< Upstreams that are proven dead.
     double score = 0.0;
 };
 
@@ -32,7 +33,8 @@
  *
  * Answers uneven load: long flows can be placed only once, and an instance sees the requests of its
  * own flows. It takes the upstream with the fewest requests and flows per slot, prefers its own
- * failure domain, and prefers any upstream that answers to one that does not.
+ * failure domain, prefers any upstream that answers to one that does not, and takes none that is
+ * proven dead.
  */
 class Placement
 {
@@ -46,12 +48,6 @@
     void setInstancesPerDomain(unsigned instances) { this->instancesPerDomain = instances; }
 
 private:
-    struct Best
-    {
-        UpstreamIndex upstream = noUpstream;
-        double score = 0.0;
-    };
-
     void consider(UpstreamIndex index, const PlacementLimits &limits, TimePoint now,
                   PlacementChoice &choice);
     [[nodiscard]] double scoreOf(const Upstream &upstream, const PlacementLimits &limits,
--- a/src/role/UpstreamProber.cpp
+++ b/src/role/ConnectionProber.cpp
@@ -1,4 +1,4 @@
-#include "role/UpstreamProber.h"
+#include "role/ConnectionProber.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -55,16 +55,16 @@
 
 } // namespace internal
 
-void UpstreamProber::probe(balance::UpstreamIndex upstream, Endpoint address)
+void ConnectionProber::probe(Endpoint address, ResultHandler onResult)
 {
     const auto probe = std::make_shared<internal::Probe>(this->context);
-    const auto finish = [this, probe, upstream](balance::ProbeResult result) {
+    const auto finish = [probe, onResult = std::move(onResult)](balance::ProbeResult result) {
         if (std::exchange(probe->done, true))
             return;
         boost::system::error_code ignored;
         probe->timer.cancel();
         probe->socket.close(ignored);
-        this->onResult(upstream, result);
+        onResult(result);
     };
     probe->timer.expires_after(this->timeout);
     internal::endAfterTimeout(probe, [finish] { finish(balance::ProbeResult::TimedOut); });
--- a/src/role/UpstreamProber.h
+++ b/src/role/ConnectionProber.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "balance/Upstream.h"
-#include "balance/UpstreamHealth.h"
 #include "base/Endpoint.h"
 #include "base/Time.h"
+#include "health/UpstreamHealth.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -12,25 +11,22 @@
 namespace bulrushgap {
 
 /** \brief Tells whether a machine accepts connections at an address; sends nothing over them. */
-class UpstreamProber
+class ConnectionProber
 {
 public:
-    using ResultHandler
-        = std::function<void(balance::UpstreamIndex upstream, balance::ProbeResult result)>;
+    using ResultHandler = std::function<void(balance::ProbeResult result)>;
 
-    UpstreamProber(boost::asio::io_context &context, Duration timeout, ResultHandler onResult)
+    ConnectionProber(boost::asio::io_context &context, Duration timeout)
         : context(context)
         , timeout(timeout)
-        , onResult(std::move(onResult))
     {}
 
     /** \brief Connects to \a address; the handler is called once, later. */
-    void probe(balance::UpstreamIndex upstream, Endpoint address);
+    void probe(Endpoint address, ResultHandler onResult);
 
 private:
     boost::asio::io_context &context;
     Duration timeout;
-    ResultHandler onResult;
 };
 
 } // namespace bulrushgap
--- a/src/role/InstanceRole.cpp
+++ b/src/role/InstanceRole.cpp
@@ -72,6 +72,7 @@
     , log("instance")
     , random(internal::randomNumber())
     , metrics(this->counters)
+    , transitionTime(this->metrics.addHistogram("transition_time"))
     , platform(context, this->settings.platform, this->counters)
     , planStore(
           this->platform, this->settings.scope,
@@ -161,7 +162,7 @@
         return;
     this->loggedPlan = inForce->id;
     const auto took = now - this->transitionStart.value_or(now);
-    this->metrics.recordTransition(took);
+    this->transitionTime.record(took);
     this->log.info("plan_in_force", {{"plan", inForce->id.toString()},
                                      {"config", inForce->configVersion},
                                      {"instances", inForce->instances.size()},
--- a/src/role/InstanceRole.h
+++ b/src/role/InstanceRole.h
@@ -59,6 +59,7 @@
     Random random;
     Counters counters;
     Metrics metrics;
+    TimeHistogram &transitionTime;
     PlatformClient platform;
     PlanStore planStore;
     InstanceEngine engine;
--- a/src/role/ObjectFeed.cpp
+++ b/src/role/ObjectFeed.cpp
@@ -1,5 +1,7 @@
 #include "role/ObjectFeed.h"
 
+#include "service/AsioScheduler.h"
+
 #include <string>
 #include <string_view>
 #include <utility>
@@ -15,7 +17,7 @@
 
 ObjectFeed::ObjectFeed(boost::asio::io_context &context, PlatformClient &client, Random &random,
                        ObjectStoreView &view, OnReachable onReachable)
-    : context(context)
+    : scheduler(asioScheduler(context))
     , client(client)
     , random(random)
     , view(view)
@@ -30,7 +32,7 @@
     if (!wanted)
         return;
     this->watch = std::make_unique<ObjectWatch>(
-        this->context, this->client, this->random, std::string(internal::allObjects),
+        this->scheduler, this->client, this->random, std::string(internal::allObjects),
         [this](const WatchUpdate &update) { this->apply(update); }, this->onReachable);
     this->watch->start();
 }
--- a/src/role/ObjectFeed.h
+++ b/src/role/ObjectFeed.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "plan/ObjectStoreView.h"
-#include "store/ObjectWatch.h"
 #include "store/PlatformClient.h"
+#include "view/ObjectWatch.h"
 
 #include <functional>
 #include <memory>
@@ -32,7 +32,7 @@
 private:
     void apply(const WatchUpdate &update);
 
-    boost::asio::io_context &context;
+    Scheduler scheduler;
     PlatformClient &client;
     Random &random;
     ObjectStoreView &view;
--- a/src/role/PacketPort.cpp
+++ b/src/role/PacketPort.cpp
@@ -77,14 +77,22 @@
                             [this](boost::system::error_code error) {
                                 if (error)
                                     return;
-                                while (this->readBatch() == batchSize) {
-                                }
+                                this->readBatches();
                                 this->onBatchEnd();
                                 if (this->socket.is_open())
                                     this->wait();
                             });
 }
 
+void PacketPort::readBatches()
+{
+    // Timers and other sockets get their turn, however many datagrams come.
+    for (std::size_t batch = 0; batch < batchesPerTurn; ++batch) {
+        if (this->readBatch() < batchSize)
+            return;
+    }
+}
+
 std::size_t PacketPort::readBatch()
 {
     const int count = ::recvmmsg(this->socket.native_handle(), this->received.data(), batchSize,
--- a/src/role/PacketPort.h
+++ b/src/role/PacketPort.h
@@ -49,7 +49,10 @@
 private:
     static constexpr std::size_t batchSize = 32;
 
+    static constexpr std::size_t batchesPerTurn = 8;
+
     void wait();
+    void readBatches();
     std::size_t readBatch();
     void discardReceived();
     void sendQueued();
--- a/src/service/Log.h
+++ b/src/service/Log.h
@@ -63,6 +63,8 @@
     void warn(std::string_view event, LogFields fields = {});
     void error(std::string_view event, LogFields fields = {});
 
+    void setLinesPerSecond(unsigned lines) { this->options.linesPerSecond = lines; }
+
     /** \brief Sends all lines from \a level ("debug", "info", "warn", "error") on to stderr. */
     static void configure(std::string_view level);
 
--- a/src/service/Metrics.cpp
+++ b/src/service/Metrics.cpp
@@ -65,6 +65,11 @@
     text += std::string(name) + "_count " + internal::number(total) + '\n';
 }
 
+TimeHistogram &Metrics::addHistogram(std::string_view name)
+{
+    return this->histograms.emplace_back(Histogram{std::string(name), {}}).times;
+}
+
 void Metrics::addGauge(std::string_view name, std::function<double()> read)
 {
     this->gauges.push_back(Gauge{std::string(name), std::move(read)});
@@ -82,9 +87,8 @@
         text += internal::sample(name, family == "event" ? "event" : "reason", label,
                                  std::to_string(value));
     });
-    this->answerTime.render("bulrushgap_answer_time_milliseconds", text);
-    this->queueTime.render("bulrushgap_queue_time_milliseconds", text);
-    this->transitionTime.render("bulrushgap_transition_time_milliseconds", text);
+    for (const Histogram &histogram : this->histograms)
+        histogram.times.render("bulrushgap_" + histogram.name + "_milliseconds", text);
     for (const Gauge &gauge : this->gauges) {
         const std::string name = "bulrushgap_" + gauge.name;
         text.append("# TYPE ").append(name).append(" gauge\n");
--- a/src/service/Metrics.h
+++ b/src/service/Metrics.h
@@ -6,6 +6,7 @@
 #include <boost/histogram.hpp>
 
 #include <functional>
+#include <list>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -42,9 +43,9 @@
         : counters(counters)
     {}
 
-    void recordAnswer(Duration time) { this->answerTime.record(time); }
-    void recordQueue(Duration time) { this->queueTime.record(time); }
-    void recordTransition(Duration time) { this->transitionTime.record(time); }
+    /** \brief Adds a histogram "bulrushgap_NAME_milliseconds". \returns it; valid as long as this.
+     */
+    [[nodiscard]] TimeHistogram &addHistogram(std::string_view name);
 
     /** \brief Adds a value that is read when the metrics are rendered. */
     void addGauge(std::string_view name, std::function<double()> read);
@@ -58,10 +59,14 @@
         std::function<double()> read;
     };
 
+    struct Histogram
+    {
+        std::string name;
+        TimeHistogram times;
+    };
+
     const Counters &counters;
-    TimeHistogram answerTime;
-    TimeHistogram queueTime;
-    TimeHistogram transitionTime;
+    std::list<Histogram> histograms;
     std::vector<Gauge> gauges;
 };
 
--- /dev/null
+++ b/src/steering.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/** \file
+ * \brief Module steering: what happens to each packet of a caller.
+ */
+#include "steering/CallerAttempts.h"
+#include "steering/FlowNames.h"
+#include "steering/FlowObserver.h"
+#include "steering/FlowPacket.h"
+#include "steering/FlowTracker.h"
+#include "steering/PacketSteering.h"
+#include "steering/SequenceNumber.h"
+#include "steering/SteeringDecision.h"
--- a/src/balance/CallerAttempts.h
+++ b/src/steering/CallerAttempts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balance/FlowTracker.h"
+#include "steering/FlowTracker.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
--- a/src/role/FlowNames.cpp
+++ b/src/steering/FlowNames.cpp
@@ -1,8 +1,8 @@
-#include "role/FlowNames.h"
+#include "steering/FlowNames.h"
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
 
-std::string flowName(const balance::FlowPacket &packet)
+std::string flowName(const FlowPacket &packet)
 {
     return packet.caller.toString() + '>' + packet.route.toString();
 }
@@ -19,4 +19,4 @@
     return rest.substr(0, rest.find('\r'));
 }
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/balance/FlowTracker.cpp
+++ b/src/steering/FlowTracker.cpp
@@ -1,4 +1,4 @@
-#include "balance/FlowTracker.h"
+#include "steering/FlowTracker.h"
 
 #include <xxhash.h>
 
--- a/src/balance/FlowTracker.h
+++ b/src/steering/FlowTracker.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "balance/FlowPacket.h"
-#include "balance/Upstream.h"
 #include "base/Time.h"
+#include "directory/Upstream.h"
+#include "steering/FlowPacket.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
@@ -42,7 +42,6 @@
     std::uint32_t dataEnd = 0;      //!< Sequence number after the last data of the caller.
     bool open = false;              //!< The caller has answered the upstream's handshake.
     bool waiting = false;           //!< A request was sent and its answer has not begun.
-    bool counted = false;           //!< Counts in the upstream's open flows.
     bool idempotent = false;
 };
 
--- /dev/null
+++ b/src/steering/PacketSteering.cpp
@@ -0,0 +1,250 @@
+#include "steering/PacketSteering.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+/** A copy of a SYN that comes earlier was held up on the way to this instance: it goes to the same
+ * upstream, since two that answer confuse the caller. */
+constexpr Duration shortestCopyInterval = std::chrono::milliseconds(120);
+
+/** Other SYNs of a caller that have no answer count against their upstreams for this long. */
+constexpr Duration attemptMemory = std::chrono::seconds(2);
+
+constexpr Duration sweepInterval = std::chrono::seconds(1);
+
+SteeringDecision forward(SteeringReason reason, UpstreamIndex upstream, bool writeTag)
+{
+    return SteeringDecision{SteeringDecision::Action::Forward, reason, upstream, writeTag};
+}
+
+SteeringDecision reset(SteeringReason reason, UpstreamIndex upstream = noUpstream)
+{
+    return SteeringDecision{SteeringDecision::Action::Reset, reason, upstream, false};
+}
+
+SteeringDecision drop(SteeringReason reason)
+{
+    return SteeringDecision{SteeringDecision::Action::Drop, reason, noUpstream, false};
+}
+
+bool servesRoute(const Route &route, std::string_view service)
+{
+    return std::ranges::any_of(
+        route.services, [service](const ServiceShare &share) { return share.service == service; });
+}
+
+/** \returns why no upstream was chosen. */
+SteeringReason refusalReason(const PlacementChoice &choice)
+{
+    if (choice.withoutBudget > 0)
+        return SteeringReason::ColdUpstreams;
+    return choice.unreachable > 0 ? SteeringReason::AllUnreachable : SteeringReason::NoUpstream;
+}
+
+} // namespace internal
+
+PacketSteering::PacketSteering(SteeringSettings settings, UpstreamDirectory &directory,
+                               RouteTable &routes, Random &random, SteeringHooks hooks)
+    : directory(directory)
+    , routes(routes)
+    , random(random)
+    , hooks(std::move(hooks))
+    , detector(directory, {this->hooks.startProbe, this->hooks.startWitness, this->hooks.onBelief,
+                           [this](UpstreamIndex upstream) {
+                               this->resetWaitingFlows(upstream);
+                           }})
+    , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
+    , placement(directory, std::move(settings.domain), random)
+    , coldStart(directory, routes, this->hooks.sharesBudget)
+{}
+
+SteeringDecision PacketSteering::decide(const FlowPacket &packet, TimePoint now)
+{
+    if (!this->routes.isLoaded())
+        return internal::drop(SteeringReason::NotReady);
+    const Route *route = this->routes.find(packet.route);
+    if (route == nullptr)
+        return this->decideUnrouted(packet);
+    return packet.syn ? this->decideSyn(packet, *route, now)
+                      : this->decideOpen(packet, *route, now);
+}
+
+SteeringDecision PacketSteering::decideUnrouted(const FlowPacket &packet) const
+{
+    if (packet.rst)
+        return internal::drop(SteeringReason::StrayPacket);
+    if (this->routes.wasRemoved(packet.route))
+        return internal::reset(SteeringReason::RouteRemoved);
+    if (packet.syn)
+        return internal::reset(SteeringReason::NoRoute);
+    // Another instance may know a newer configuration and have placed the flow.
+    const UpstreamIndex upstream = this->directory.findByTag(packet.flowTag);
+    if (upstream != noUpstream)
+        return internal::forward(SteeringReason::KnownUpstream, upstream, false);
+    return internal::drop(SteeringReason::StrayPacket);
+}
+
+SteeringDecision PacketSteering::decideSyn(const FlowPacket &packet, const Route &route,
+                                           TimePoint now)
+{
+    const FlowId id{packet.caller, packet.route};
+    FlowState *flow = this->observer.findOrAdd(id, now);
+    if (flow == nullptr)
+        return this->place(packet, route, nullptr, now);
+    if (flow->open)
+        this->observer.restart(*flow, now);
+    flow->lastSeen = now;
+    flow->idempotent = route.kind == RequestKind::Idempotent;
+    const bool repeated = flow->upstream != noUpstream;
+    if (repeated && now - flow->syncSentAt < internal::shortestCopyInterval)
+        return internal::forward(SteeringReason::RepeatedSyn, flow->upstream, true);
+    if (repeated && this->directory.at(flow->upstream).health.lastAnswer() < flow->syncSentAt)
+        this->detector.suspect(flow->upstream, "syn_repeated", now);
+    SteeringDecision decision = this->place(packet, route, flow, now);
+    if (repeated && decision.action == SteeringDecision::Action::Forward)
+        decision.reason = SteeringReason::RepeatedSyn;
+    return decision;
+}
+
+std::string_view PacketSteering::serviceFor(const Route &route)
+{
+    unsigned total = 0;
+    for (const ServiceShare &share : route.services)
+        total += share.weight;
+    if (total == 0)
+        return route.services.empty() ? std::string_view() : route.services.front().service;
+    unsigned point = static_cast<unsigned>(this->random() % total);
+    for (const ServiceShare &share : route.services) {
+        if (point < share.weight)
+            return share.service;
+        point -= share.weight;
+    }
+    return route.services.back().service;
+}
+
+PlacementLimits PacketSteering::limitsFor(const FlowPacket &packet, const FlowState *flow,
+                                          TimePoint now)
+{
+    this->avoided.clear();
+    if (flow != nullptr) {
+        for (const UpstreamIndex upstream : flow->tried) {
+            if (upstream != noUpstream)
+                this->avoided.push_back(upstream);
+        }
+    }
+    for (const auto &attempt : this->observer.attemptsOf(packet.caller.address)) {
+        if (!this->triedInVain(attempt, packet, now))
+            continue;
+        this->detector.suspect(attempt.upstream, "caller_tries_again", now);
+        this->avoided.push_back(attempt.upstream);
+    }
+    return PlacementLimits{this->avoided, this->avoided.size() > 1};
+}
+
+bool PacketSteering::triedInVain(const CallerAttempts::Attempt &attempt, const FlowPacket &packet,
+                                 TimePoint now) const
+{
+    if (attempt.upstream == noUpstream || attempt.flow.caller == packet.caller
+        || attempt.flow.route != packet.route)
+        return false;
+    const Duration age = now - attempt.sentAt;
+    const Duration answerTime = this->observer.usualHandshake() * 3 / 4;
+    if (age < answerTime || age > internal::attemptMemory)
+        return false;
+    return this->directory.at(attempt.upstream).health.lastAnswer() < attempt.sentAt;
+}
+
+SteeringDecision PacketSteering::place(const FlowPacket &packet, const Route &route,
+                                       FlowState *flow, TimePoint now)
+{
+    const PlacementLimits limits = this->limitsFor(packet, flow, now);
+    this->choice = this->placement.choose(this->serviceFor(route), limits, now);
+    if (this->choice.upstream == noUpstream)
+        return internal::reset(internal::refusalReason(this->choice));
+    this->observer.placed({packet.caller, packet.route}, flow, this->choice.upstream, now);
+    return internal::forward(SteeringReason::NewFlow, this->choice.upstream, true);
+}
+
+SteeringDecision PacketSteering::decideOpen(const FlowPacket &packet, const Route &route,
+                                            TimePoint now)
+{
+    const FlowId id{packet.caller, packet.route};
+    if (packet.rst)
+        this->observer.forget(id);
+    const UpstreamIndex upstream = this->directory.findByTag(packet.flowTag);
+    FlowState *flow = packet.rst ? nullptr : this->observer.findOrAdd(id, now);
+    if (flow != nullptr)
+        flow->idempotent = route.kind == RequestKind::Idempotent;
+    if (upstream == noUpstream)
+        return this->decideUntagged(packet, flow);
+    const std::string &service = this->directory.at(upstream).entry.service;
+    if (!internal::servesRoute(route, service) && !this->routes.everServed(packet.route, service))
+        return internal::drop(SteeringReason::ForeignUpstream);
+    if (flow != nullptr)
+        return this->decideTagged(packet, *flow, upstream, now);
+    return internal::forward(SteeringReason::KnownUpstream, upstream, false);
+}
+
+SteeringDecision PacketSteering::decideTagged(const FlowPacket &packet, FlowState &flow,
+                                              UpstreamIndex upstream, TimePoint now)
+{
+    this->observer.observe(packet, flow, upstream, now);
+    const bool resettable = flow.idempotent && !packet.fin;
+    const bool replaced = this->directory.isReplaced(upstream);
+    const bool dead = this->directory.at(upstream).health.isProvenDead();
+    if (!resettable || !(replaced || (dead && flow.waiting)))
+        return internal::forward(SteeringReason::KnownUpstream, upstream, false);
+    this->observer.forget({packet.caller, packet.route});
+    return internal::reset(replaced ? SteeringReason::UpstreamReplaced
+                                    : SteeringReason::UpstreamUnreachable,
+                           upstream);
+}
+
+SteeringDecision PacketSteering::decideUntagged(const FlowPacket &packet,
+                                                const FlowState *flow) const
+{
+    if (packet.rst || packet.fin || packet.flowTag == 0)
+        return internal::drop(SteeringReason::StrayPacket);
+    // Proof that the upstream is gone: it was not in the registry after the flow came here.
+    if (flow != nullptr && flow->firstSeen < this->verifiedSince && flow->idempotent)
+        return internal::reset(SteeringReason::UnknownUpstream);
+    this->hooks.verifyView();
+    return internal::drop(SteeringReason::AwaitingView);
+}
+
+void PacketSteering::resetWaitingFlows(UpstreamIndex upstream)
+{
+    this->observer.visitWaiting(upstream, [&](const FlowId &id, const FlowState &flow) {
+        if (!flow.idempotent)
+            return false;
+        FlowPacket packet;
+        packet.caller = id.caller;
+        packet.route = id.route;
+        packet.acknowledged = flow.acknowledged;
+        this->hooks.resetFlow(packet, upstream);
+        return true;
+    });
+}
+
+std::optional<TimePoint> PacketSteering::tick(TimePoint now)
+{
+    if (now - this->sweptAt > internal::sweepInterval) {
+        this->sweptAt = now;
+        this->observer.forgetOld(now);
+        this->directory.expire(now);
+    }
+    this->detector.tick(now);
+    return this->detector.nextTick();
+}
+
+void PacketSteering::setInstancesPerDomain(unsigned instances)
+{
+    this->placement.setInstancesPerDomain(std::max(1U, instances));
+    this->coldStart.refresh();
+}
+
+} // namespace bulrushgap::balance
--- a/src/balance/SteeringDecision.h
+++ b/src/steering/SteeringDecision.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "balance/Upstream.h"
+#include "directory/Upstream.h"
 
 #include <cstdint>
 #include <string_view>
@@ -16,6 +16,7 @@
     RouteRemoved,        //!< Reset: a configuration dropped the route.
     NoUpstream,          //!< Reset: the service has no upstream in the registry.
     ColdUpstreams,       //!< Reset: only cold upstreams are left, and they bear no more now.
+    AllUnreachable,      //!< Reset: all upstreams of the service are proven dead or cut off.
     UpstreamUnreachable, //!< Reset: the flow's upstream is proven dead or cut off.
     UpstreamReplaced,    //!< Reset: the flow's upstream is gone, another has its address.
     UnknownUpstream,     //!< Reset: no upstream has the tag, by a view that is up to date.
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include "store/PlatformClient.h"
 
-#include <boost/json/parse.hpp>
+#include "store/CallResult.h"
+
 #include <boost/json/serialize.hpp>
 #include <boost/url/encode.hpp>
 #include <boost/url/rfc/pchars.hpp>
@@ -17,22 +18,6 @@
     return boost::urls::encode(key, boost::urls::unreserved_chars + '/');
 }
 
-std::uint64_t memberNumber(const boost::json::object &object, std::string_view name)
-{
-    const auto *member = object.if_contains(name);
-    if (member == nullptr || !member->is_int64() || *member->if_int64() < 0)
-        return 0;
-    return static_cast<std::uint64_t>(*member->if_int64());
-}
-
-std::string memberText(const boost::json::object &object, std::string_view name)
-{
-    const auto *member = object.if_contains(name);
-    if (member == nullptr || !member->is_string())
-        return {};
-    return std::string(std::string_view(*member->if_string()));
-}
-
 std::optional<boost::json::value> memberValue(const boost::json::object &object,
                                               std::string_view name)
 {
@@ -41,42 +26,9 @@
                                                   : std::optional<boost::json::value>(*member);
 }
 
-/** \brief Meaning of an answer; \a lost is the result if there is no usable answer. */
 PlatformResult resultOf(const HttpOutcome &outcome, PlatformResult lost)
 {
-    if (outcome.failure == HttpFailure::NotSent)
-        return PlatformResult::Unavailable;
-    if (outcome.failure == HttpFailure::Lost)
-        return lost;
-    switch (outcome.status) {
-    case 200:
-        return PlatformResult::Ok;
-    case 404:
-        return PlatformResult::NotFound;
-    case 409:
-        return PlatformResult::Conflict;
-    case 410:
-        return PlatformResult::Gone;
-    case 413:
-        return PlatformResult::TooLarge;
-    case 429:
-        return PlatformResult::TooMany;
-    default:
-        // A server error says nothing about the write.
-        return outcome.status >= 500 ? lost : PlatformResult::Unavailable;
-    }
-}
-
-/** \returns the object of the body; sets \a result to \a lost if a 200 has no JSON object. */
-boost::json::object bodyOf(const HttpOutcome &outcome, PlatformResult lost, PlatformResult &result)
-{
-    boost::system::error_code error;
-    boost::json::value body = boost::json::parse(outcome.body, error);
-    if (!error && body.is_object())
-        return std::move(*body.if_object());
-    if (result == PlatformResult::Ok)
-        result = lost;
-    return {};
+    return bulrushgap::resultOf(outcome, lost, Status503::Unknown);
 }
 
 StoredObject storedObject(const boost::json::object &object)
@@ -91,10 +43,10 @@
     list.result = resultOf(outcome, PlatformResult::Unavailable);
     const auto body = bodyOf(outcome, PlatformResult::Unavailable, list.result);
     list.revision = memberNumber(body, "revision");
-    const auto *objects = body.if_contains("objects");
-    if (objects == nullptr || !objects->is_array())
+    const auto *objects = memberList(body, "objects");
+    if (objects == nullptr)
         return list;
-    for (const auto &entry : *objects->if_array()) {
+    for (const auto &entry : *objects) {
         if (entry.is_object())
             list.objects.push_back(storedObject(*entry.if_object()));
     }
@@ -107,10 +59,10 @@
     watch.result = resultOf(outcome, PlatformResult::Unavailable);
     const auto body = bodyOf(outcome, PlatformResult::Unavailable, watch.result);
     watch.revision = memberNumber(body, "revision");
-    const auto *events = body.if_contains("events");
-    if (events == nullptr || !events->is_array())
+    const auto *events = memberList(body, "events");
+    if (events == nullptr)
         return watch;
-    for (const auto &entry : *events->if_array()) {
+    for (const auto &entry : *events) {
         const auto *event = entry.if_object();
         if (event != nullptr)
             watch.events.push_back(WatchEvent{memberText(*event, "key"),
@@ -162,7 +114,7 @@
     this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
         GetOutcome get;
         get.result = internal::resultOf(outcome, PlatformResult::Unavailable);
-        const auto body = internal::bodyOf(outcome, PlatformResult::Unavailable, get.result);
+        const auto body = bodyOf(outcome, PlatformResult::Unavailable, get.result);
         get.object = internal::storedObject(body);
         handler(std::move(get));
     });
@@ -175,8 +127,8 @@
     this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
         WriteOutcome write;
         write.result = internal::resultOf(outcome, PlatformResult::LostAnswer);
-        const auto body = internal::bodyOf(outcome, PlatformResult::LostAnswer, write.result);
-        write.version = internal::memberNumber(body, "version");
+        const auto body = bodyOf(outcome, PlatformResult::LostAnswer, write.result);
+        write.version = memberNumber(body, "version");
         handler(write);
     });
 }
--- a/src/role/MemberRegistration.cpp
+++ b/src/view/MemberRegistration.cpp
@@ -1,31 +1,36 @@
-#include "role/MemberRegistration.h"
+#include "view/MemberRegistration.h"
 
 #include "platform/ObjectCodec.h"
 
 #include <utility>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
 
 namespace internal {
 
 constexpr Duration firstRegistrationRetry = std::chrono::milliseconds(500);
 constexpr Duration longestRegistrationRetry = std::chrono::seconds(5);
 
+/** Time in which an entry that was written reaches the view of the instance itself. */
+constexpr Duration entrySettleTime = std::chrono::seconds(20);
+
 } // namespace internal
 
-MemberRegistration::MemberRegistration(boost::asio::io_context &context,
-                                       platform::StoreClient &store, Random &random,
-                                       balance::Member member, Log &log)
-    : store(store)
+MemberRegistration::MemberRegistration(const Scheduler &scheduler, ObjectWriter &store,
+                                       Random &random, Member member, Log &log)
+    : scheduler(scheduler)
+    , store(store)
     , member(std::move(member))
     , log(log)
-    , timer(context)
     , backoff(internal::firstRegistrationRetry, internal::longestRegistrationRetry, random)
 {}
 
 void MemberRegistration::ensure()
 {
-    if (!std::exchange(this->started, true))
+    const TimePoint now = this->scheduler.now();
+    if (this->writtenAt && now - *this->writtenAt < internal::entrySettleTime)
+        return;
+    if (!std::exchange(this->writing, true))
         this->create();
 }
 
@@ -50,13 +55,13 @@
 void MemberRegistration::onWritten(PlatformResult result)
 {
     this->log.info("registration", {{"result", toString(result)}});
-    if (result == PlatformResult::Ok)
+    if (result == PlatformResult::Ok) {
+        this->writing = false;
+        this->writtenAt = this->scheduler.now();
+        this->backoff.reset();
         return;
-    this->timer.expires_after(this->backoff.next());
-    this->timer.async_wait([this](boost::system::error_code error) {
-        if (!error)
-            this->create();
-    });
+    }
+    this->timer = this->scheduler.after(this->backoff.next(), [this] { this->create(); });
 }
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/view/MemberRegistration.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "base/Scheduler.h"
+#include "base/Time.h"
+#include "service/Backoff.h"
+#include "service/Log.h"
+#include "view/Member.h"
+#include "view/ObjectSource.h"
+
+#include <optional>
+
+namespace bulrushgap::balance {
+
+/** \brief Enters this instance in the store, where the others find it; retried until it is there.
+ */
+class MemberRegistration
+{
+public:
+    MemberRegistration(const Scheduler &scheduler, ObjectWriter &store, Random &random,
+                       Member member, Log &log);
+
+    /** \brief Writes the entry, unless that is under way or was done a moment ago. */
+    void ensure();
+
+private:
+    void create();
+    void replace();
+    void onWritten(PlatformResult result);
+
+    const Scheduler &scheduler;
+    ObjectWriter &store;
+    Member member;
+    Log &log;
+    Scheduler::Timer timer;
+    Backoff backoff;
+    bool writing = false;
+    std::optional<TimePoint> writtenAt;
+};
+
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/view/MemberSweeper.cpp
@@ -0,0 +1,119 @@
+#include "view/MemberSweeper.h"
+
+#include "platform/ObjectCodec.h"
+
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+constexpr Duration sweepPause = std::chrono::seconds(2);
+
+/** An instance that accepts no connection for this long is taken as lost. A restart, a cut or a
+ * pause mostly ends sooner, and writing the entry again costs two calls. */
+constexpr Duration lostAfter = std::chrono::seconds(20);
+constexpr unsigned lostAfterFailures = 4;
+
+} // namespace internal
+
+MemberSweeper::MemberSweeper(const Scheduler &scheduler, ObjectWriter &store, std::string self,
+                             Counters &counters, Log &log, MemberSweeperHooks hooks)
+    : scheduler(scheduler)
+    , store(store)
+    , self(std::move(self))
+    , counters(counters)
+    , log(log)
+    , hooks(std::move(hooks))
+{}
+
+void MemberSweeper::start()
+{
+    this->timer = this->scheduler.after(internal::sweepPause, [this] {
+        this->sweep();
+        this->start();
+    });
+}
+
+void MemberSweeper::update(MemberEntries next)
+{
+    this->entries = std::move(next);
+    std::erase_if(this->silent,
+                  [this](const auto &entry) { return !this->entries.contains(entry.first); });
+}
+
+void MemberSweeper::sweep()
+{
+    if (!this->hooks.isDirect()) {
+        this->silent.clear();
+        return;
+    }
+    if (this->checking)
+        return;
+    const MemberEntry *entry = this->nextToCheck();
+    if (entry == nullptr)
+        return;
+    this->checking = true;
+    this->hooks.checkPeer(entry->member.peer, [this, checked = *entry](bool accepts) {
+        this->checking = false;
+        this->onChecked(checked, accepts);
+    });
+}
+
+const MemberEntry *MemberSweeper::nextToCheck()
+{
+    // Silent instances take every other turn, so that they are judged soon in a large deployment.
+    this->checkSilent = !this->checkSilent;
+    if (this->checkSilent && !this->silent.empty()) {
+        const auto found = this->entries.find(this->silent.begin()->first);
+        if (found != this->entries.end())
+            return &found->second;
+    }
+    auto next = this->entries.upper_bound(this->lastChecked);
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        if (next == this->entries.end())
+            next = this->entries.begin();
+        if (next->first != this->self) {
+            this->lastChecked = next->first;
+            return &next->second;
+        }
+        ++next;
+    }
+    return nullptr;
+}
+
+void MemberSweeper::onChecked(const MemberEntry &entry, bool accepts)
+{
+    const auto found = this->entries.find(entry.member.name);
+    if (found == this->entries.end() || found->second != entry)
+        return;
+    if (accepts) {
+        this->silent.erase(entry.member.name);
+        return;
+    }
+    Silence &silence = this->silent[entry.member.name];
+    if (silence.failures++ == 0)
+        silence.since = this->scheduler.now();
+    const bool longEnough = this->scheduler.now() - silence.since >= internal::lostAfter;
+    if (longEnough && silence.failures >= internal::lostAfterFailures)
+        this->remove(entry, silence);
+}
+
+void MemberSweeper::remove(const MemberEntry &entry, const Silence &silence)
+{
+    const auto seconds
+        = std::chrono::duration_cast<std::chrono::seconds>(this->scheduler.now() - silence.since);
+    this->log.warn("member_lost", {{"instance", entry.member.name},
+                                   {"silent_s", seconds.count()},
+                                   {"failures", silence.failures},
+                                   {"revision", entry.revision}});
+    this->counters.add("member_lost");
+    const std::string name = entry.member.name;
+    this->silent.erase(name);
+    this->store.remove(
+        platform::instanceKind, name, entry.revision, [this, name](PlatformResult result) {
+            this->log.info("member_removed", {{"instance", name}, {"result", toString(result)}});
+        });
+}
+
+} // namespace bulrushgap::balance
--- a/src/role/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -1,11 +1,7 @@
 #pragma once
 
-#include "base/Time.h"
-#include "service/HttpServer.h"
-#include "store/ObjectWatch.h"
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
+#include "base/Scheduler.h"
+#include "view/ObjectWatch.h"
 
 #include <cstdint>
 #include <deque>
@@ -16,28 +12,42 @@
 #include <string>
 #include <string_view>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
+
+/** \brief What another instance gets on a read: Ok, Gone or Busy, and for Ok an encoded body. */
+struct MirrorReply
+{
+    PlatformResult result = PlatformResult::Busy;
+    std::string body;
+};
 
 /** \brief Answers other instances' lists and watches as the store does, from what this one knows.
  *
- * It answers only while this instance follows the store itself; else with 503, and the hook learns
+ * It answers only while this instance follows the store itself; else with Busy, and the hook learns
  * that another instance asks.
  */
 class ObjectMirror
 {
 public:
+    using Responder = std::function<void(MirrorReply reply)>;
+
     /** \returns whether this instance follows the store itself and it answers. */
     using DirectCheck = std::function<bool()>;
 
-    ObjectMirror(boost::asio::io_context &context, HttpServer &server, DirectCheck isDirect);
+    ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect);
     ~ObjectMirror() { this->refuseWaiting(); }
     ObjectMirror(const ObjectMirror &) = delete;
     ObjectMirror &operator=(const ObjectMirror &) = delete;
 
+    void list(std::string_view kind, const Responder &respond) const;
+
+    /** \brief Answers once there is a change after \a since, or after \a wait. */
+    void watch(std::string_view kind, std::uint64_t since, Duration wait, const Responder &respond);
+
     /** \brief Takes over what a watch of \a kind has brought, and tells those who wait for it. */
     void apply(std::string_view kind, const WatchUpdate &update);
 
-    /** \brief Answers all waiting watches with 503: the store can't be followed any more. */
+    /** \brief Answers all waiting watches with Busy: the store can't be followed any more. */
     void refuseWaiting();
 
 private:
@@ -56,8 +66,8 @@
     struct Waiting
     {
         std::uint64_t since = 0;
-        HttpResponder respond;
-        std::shared_ptr<boost::asio::steady_timer> timer;
+        Responder respond;
+        Scheduler::Timer timer;
     };
     using WaitingPtr = std::shared_ptr<Waiting>;
 
@@ -71,16 +81,16 @@
         std::list<WaitingPtr> waiting;
     };
 
-    void onRequest(const HttpRequestView &request, const HttpResponder &respond);
-    void list(const Kind &kind, const HttpResponder &respond) const;
-    void watch(Kind &kind, std::uint64_t since, Duration wait, const HttpResponder &respond);
-    void keep(Kind &kind, std::string_view name, const WatchEvent &event, std::uint64_t revision);
+    /** \returns the kind if it can be served now, or nullptr. */
+    [[nodiscard]] const Kind *servable(std::string_view kind) const;
+    void keep(Kind &kind, const WatchEvent &event, std::uint64_t revision);
     void answerWaiting(Kind &kind);
-    [[nodiscard]] std::string changesSince(const Kind &kind, std::uint64_t since) const;
+    void endWait(Kind &kind, const WaitingPtr &waiting);
+    [[nodiscard]] static std::string changesSince(const Kind &kind, std::uint64_t since);
 
-    boost::asio::io_context &context;
+    const Scheduler &scheduler;
     DirectCheck isDirect;
     std::map<std::string, Kind, std::less<>> kinds;
 };
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/store/ObjectWatch.cpp
+++ b/src/view/ObjectWatch.cpp
@@ -1,18 +1,18 @@
-#include "store/ObjectWatch.h"
+#include "view/ObjectWatch.h"
 
 #include <algorithm>
 #include <utility>
 
 namespace bulrushgap {
 
-ObjectWatch::ObjectWatch(boost::asio::io_context &context, WatchableStore &store, Random &random,
+ObjectWatch::ObjectWatch(const Scheduler &scheduler, WatchableStore &store, Random &random,
                          std::string prefix, UpdateHandler onUpdate, ReachableHandler onReachable,
                          WatchRetry retry)
-    : store(store)
+    : scheduler(scheduler)
+    , store(store)
     , prefix(std::move(prefix))
     , onUpdate(std::move(onUpdate))
     , onReachable(std::move(onReachable))
-    , timer(context)
     , backoff(retry.first, retry.longest, random)
     , settle(retry.settle)
 {}
@@ -103,11 +103,7 @@
         this->poll();
         return;
     }
-    this->timer.expires_after(delay);
-    this->timer.async_wait([this, alive = this->alive](boost::system::error_code error) {
-        if (!error && *alive)
-            this->poll();
-    });
+    this->timer = this->scheduler.after(delay, [this] { this->poll(); });
 }
 
 void ObjectWatch::retryLater()
--- a/src/store/ObjectWatch.h
+++ b/src/view/ObjectWatch.h
@@ -1,11 +1,9 @@
 #pragma once
 
+#include "base/Scheduler.h"
 #include "service/Backoff.h"
 #include "store/ObjectStore.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,7 +40,7 @@
     using ReachableHandler = std::function<void(bool reachable)>;
 
     /** \param onReachable called when calls start to fail or to succeed again; may be empty. */
-    ObjectWatch(boost::asio::io_context &context, WatchableStore &store, Random &random,
+    ObjectWatch(const Scheduler &scheduler, WatchableStore &store, Random &random,
                 std::string prefix, UpdateHandler onUpdate, ReachableHandler onReachable = {},
                 WatchRetry retry = {});
     ~ObjectWatch();
@@ -61,11 +59,12 @@
     void succeeded();
     void retryLater();
 
+    const Scheduler &scheduler;
     WatchableStore &store;
     std::string prefix;
     UpdateHandler onUpdate;
     ReachableHandler onReachable;
-    boost::asio::steady_timer timer;
+    Scheduler::Timer timer;
     Backoff backoff;
     Duration settle;
     std::optional<std::uint64_t> revision;
--- a/src/role/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -1,10 +1,10 @@
-#include "role/SourcedStore.h"
+#include "view/SourcedStore.h"
 
 #include "platform/ObjectCodec.h"
 
 #include <utility>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
 
 namespace internal {
 
@@ -28,11 +28,6 @@
 
 constexpr milliseconds memberWait{15'000};
 
-TimePoint sourceNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 std::string sourceName(std::optional<Endpoint> source)
 {
     return source ? source->toString() : "store";
@@ -45,32 +40,29 @@
 
 } // namespace internal
 
-SourcedStore::SourcedStore(boost::asio::io_context &context, platform::StoreClient &store,
-                           balance::ViewSources &sources, Counters &counters, Log &log,
-                           LostHandler onLost)
-    : context(context)
+SourcedStore::SourcedStore(const Scheduler &scheduler, ObjectSource &store, ViewSources &sources,
+                           Counters &counters, Log &log, SourcedStoreHooks hooks)
+    : scheduler(scheduler)
     , store(store)
     , sources(sources)
     , counters(counters)
     , log(log)
-    , onLost(std::move(onLost))
+    , hooks(std::move(hooks))
 {}
 
-platform::StoreClient &SourcedStore::clientFor(std::optional<Endpoint> source)
+ObjectSource &SourcedStore::clientFor(std::optional<Endpoint> source)
 {
     if (!source)
         return this->store;
     auto &peer = this->peers[*source];
-    if (!peer) {
-        peer = std::make_unique<platform::StoreClient>(this->context, *source, this->counters,
-                                                       "peer", platform::peerTimeouts());
-    }
+    if (!peer)
+        peer = this->hooks.connectPeer(*source);
     return *peer;
 }
 
 void SourcedStore::list(std::string_view kind, ListHandler handler)
 {
-    this->sources.reconsider(internal::sourceNow());
+    this->sources.reconsider(this->scheduler.now());
     const auto source = this->sources.current();
     this->clientFor(source).list(kind,
                                  [this, source, handler = std::move(handler)](ListOutcome outcome) {
@@ -81,7 +73,7 @@
 
 void SourcedStore::watch(std::string_view kind, std::uint64_t since, WatchHandler handler)
 {
-    this->sources.reconsider(internal::sourceNow());
+    this->sources.reconsider(this->scheduler.now());
     const auto source = this->sources.current();
     const auto watch = std::make_shared<PendingWatch>(
         PendingWatch{std::string(kind), std::move(handler), source});
@@ -161,21 +153,21 @@
     this->trusted = false;
     this->confirmed.clear();
     this->storeFailed = this->storeFailed || !source;
-    this->sources.failed(internal::sourceNow());
+    this->sources.failed(this->scheduler.now());
     this->counters.add("source_failed");
     this->log.warn("source_failed", {{"source", internal::sourceName(source)},
                                      {"result", toString(result)},
                                      {"next", internal::sourceName(this->sources.current())}});
     this->failPending(source);
     if (!source)
-        this->onLost();
+        this->hooks.onLost();
 }
 
 bool SourcedStore::mayBeReadySoon(std::optional<Endpoint> source, PlatformResult result)
 {
     if (!source || result != PlatformResult::Busy || this->sources.isStarting())
         return false;
-    const TimePoint now = internal::sourceNow();
+    const TimePoint now = this->scheduler.now();
     if (!this->busySince)
         this->busySince = now;
     return now - *this->busySince < internal::busyPatience;
@@ -197,4 +189,4 @@
     }
 }
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/role/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "balance/ViewSources.h"
 #include "base/Counters.h"
-#include "platform/StoreClient.h"
+#include "base/Scheduler.h"
 #include "service/Log.h"
 #include "store/ObjectStore.h"
+#include "view/ObjectSource.h"
+#include "view/ViewSources.h"
 
-#include <boost/asio/io_context.hpp>
-
+#include <functional>
 #include <list>
 #include <map>
 #include <memory>
@@ -15,21 +15,27 @@
 #include <string>
 #include <utility>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
+
+struct SourcedStoreHooks
+{
+    /** \returns a client of another instance, which answers reads as the store does. */
+    std::function<std::unique_ptr<ObjectSource>(Endpoint peer)> connectPeer;
+
+    /** This instance can no longer follow the store itself. */
+    std::function<void()> onLost;
+};
 
 /** \brief Reads from the store or from another instance, whichever ViewSources names.
  *
- * When one call fails, all that wait at the same source fail with it, so that a source that went
- * silent is left as soon as the shortest watch notices.
+ * Answers sources that die or fall silent: when one call fails, all that wait at the same source
+ * fail with it, so a silent source is left as soon as the shortest watch notices.
  */
 class SourcedStore : public WatchableStore
 {
 public:
-    /** \brief Called when this instance can no longer follow the store itself. */
-    using LostHandler = std::function<void()>;
-
-    SourcedStore(boost::asio::io_context &context, platform::StoreClient &store,
-                 balance::ViewSources &sources, Counters &counters, Log &log, LostHandler onLost);
+    SourcedStore(const Scheduler &scheduler, ObjectSource &store, ViewSources &sources,
+                 Counters &counters, Log &log, SourcedStoreHooks hooks);
 
     void list(std::string_view kind, ListHandler handler) override;
     void watch(std::string_view kind, std::uint64_t since, WatchHandler handler) override;
@@ -50,9 +56,6 @@
     };
     using PendingWatchPtr = std::shared_ptr<PendingWatch>;
 
-    platform::StoreClient &clientFor(std::optional<Endpoint> source);
-    [[nodiscard]] bool mayBeReadySoon(std::optional<Endpoint> source, PlatformResult result);
-    void onResult(std::optional<Endpoint> source, PlatformResult result);
     /** \brief A watch that waits until the trial call at the present source has an answer. */
     struct HeldWatch
     {
@@ -60,19 +63,22 @@
         std::uint64_t since = 0;
     };
 
+    [[nodiscard]] ObjectSource &clientFor(std::optional<Endpoint> source);
+    [[nodiscard]] bool mayBeReadySoon(std::optional<Endpoint> source, PlatformResult result);
+    void onResult(std::optional<Endpoint> source, PlatformResult result);
     void send(const PendingWatchPtr &watch, std::uint64_t since, bool trial);
     void endTrial(std::optional<Endpoint> source, bool answered);
     [[nodiscard]] std::chrono::milliseconds waitFor(std::string_view kind,
                                                     std::optional<Endpoint> source) const;
     void failPending(std::optional<Endpoint> source);
 
-    boost::asio::io_context &context;
-    platform::StoreClient &store;
-    balance::ViewSources &sources;
+    const Scheduler &scheduler;
+    ObjectSource &store;
+    ViewSources &sources;
     Counters &counters;
     Log &log;
-    LostHandler onLost;
-    std::map<Endpoint, std::unique_ptr<platform::StoreClient>> peers;
+    SourcedStoreHooks hooks;
+    std::map<Endpoint, std::unique_ptr<ObjectSource>> peers;
     std::list<PendingWatchPtr> pending;
     std::list<HeldWatch> held;
     std::set<std::string, std::less<>> confirmed; //!< Kinds that the present source has answered.
@@ -84,4 +90,4 @@
     bool storeFailed = false;
 };
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/role/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -1,4 +1,4 @@
-#include "role/ViewFollower.h"
+#include "view/ViewFollower.h"
 
 #include "platform/ObjectCodec.h"
 
@@ -6,7 +6,7 @@
 
 #include <utility>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
 
 namespace internal {
 
@@ -16,11 +16,6 @@
 /** Shortest time between two full reads of the registry because of unknown flow tags. */
 constexpr Duration verificationInterval = std::chrono::seconds(1);
 
-TimePoint viewNow()
-{
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
-}
-
 /** \returns what \a decode gives, or nothing after it has logged why the object can't be used. */
 template <typename Decode>
 auto decodeOrLog(Log &log, Counters &counters, std::string_view kind, std::string_view name,
@@ -47,39 +42,45 @@
         });
 }
 
+/** \returns the entries that name an upstream. */
+std::vector<RegistryEntry> entriesOf(std::span<RegistryChange> changes)
+{
+    std::vector<RegistryEntry> entries;
+    for (RegistryChange &change : changes) {
+        if (change.entry)
+            entries.push_back({std::move(*change.entry), change.revision});
+    }
+    return entries;
+}
+
 } // namespace internal
 
-ViewFollower::ViewFollower(boost::asio::io_context &context, SourcedStore &store, Random &random,
-                           balance::UpstreamDirectory &directory, balance::RouteTable &routes,
-                           balance::PacketSteering &steering, balance::ViewSources &sources,
-                           ObjectMirror &mirror, Counters &counters, Log &log,
+ViewFollower::ViewFollower(const Scheduler &scheduler, SourcedStore &store, Random &random,
+                           ViewTargets targets, Counters &counters, Log &log,
                            ChangeHandler onChange)
-    : store(store)
-    , directory(directory)
-    , routes(routes)
-    , steering(steering)
-    , sources(sources)
-    , mirror(mirror)
+    : scheduler(scheduler)
+    , store(store)
+    , targets(targets)
     , counters(counters)
     , log(log)
     , onChange(std::move(onChange))
     , upstreamWatch(
-          context, store, random, std::string(platform::upstreamKind),
+          scheduler, store, random, std::string(platform::upstreamKind),
           [this](const WatchUpdate &update) { this->onUpstreams(update); },
           [this](bool reachable) { this->onReachable(platform::upstreamKind, reachable); },
           internal::viewRetry)
     , configurationWatch(
-          context, store, random, std::string(platform::configurationKind),
+          scheduler, store, random, std::string(platform::configurationKind),
           [this](const WatchUpdate &update) { this->onConfiguration(update); },
           [this](bool reachable) { this->onReachable(platform::configurationKind, reachable); },
           internal::viewRetry)
     , evacuationWatch(
-          context, store, random, std::string(platform::evacuationKind),
+          scheduler, store, random, std::string(platform::evacuationKind),
           [this](const WatchUpdate &update) { this->onEvacuations(update); },
           [this](bool reachable) { this->onReachable(platform::evacuationKind, reachable); },
           internal::viewRetry)
     , memberWatch(
-          context, store, random, std::string(platform::instanceKind),
+          scheduler, store, random, std::string(platform::instanceKind),
           [this](const WatchUpdate &update) { this->onMembers(update); },
           [this](bool reachable) { this->onReachable(platform::instanceKind, reachable); },
           internal::viewRetry)
@@ -92,43 +93,39 @@
 
 bool ViewFollower::isComplete() const
 {
-    return this->upstreamsKnown && this->evacuationsKnown && this->routes.isLoaded();
+    return this->upstreamsKnown && this->evacuationsKnown && this->targets.routes.isLoaded();
 }
 
 void ViewFollower::onUpstreams(const WatchUpdate &update)
 {
-    this->mirror.apply(platform::upstreamKind, update);
-    const TimePoint now = internal::viewNow();
-    std::vector<balance::RegistryEntry> entries;
-    for (const WatchEvent &event : update.events) {
-        if (!event.value) {
-            this->directory.remove(event.key, event.version, now);
-            continue;
-        }
-        const auto entry = internal::decodeOrLog(
-            this->log, this->counters, platform::upstreamKind, event.key,
-            [&] { return platform::decodeUpstream(event.key, *event.value); });
-        if (!entry) {
-            // An entry that can't be used names no upstream.
-            if (!update.complete)
-                this->directory.remove(event.key, event.version, now);
-            continue;
-        }
-        if (update.complete)
-            entries.push_back({*entry, event.version});
-        else
-            this->directory.put({*entry, event.version}, now);
-    }
+    this->targets.mirror.apply(platform::upstreamKind, update);
+    const TimePoint now = this->scheduler.now();
+    std::vector<RegistryChange> changes;
+    changes.reserve(update.events.size());
+    for (const WatchEvent &event : update.events)
+        changes.push_back(this->changeOf(event));
     if (update.complete)
-        this->directory.replaceAll(entries, now);
+        this->targets.directory.replaceAll(internal::entriesOf(changes), now);
+    else
+        this->targets.directory.update(changes, now);
     this->upstreamsKnown = true;
-    this->steering.refreshColdBudgets();
+    this->targets.steering.refreshColdBudgets();
     this->onChange();
 }
 
+RegistryChange ViewFollower::changeOf(const WatchEvent &event)
+{
+    RegistryChange change{event.key, event.version, std::nullopt};
+    if (event.value)
+        change.entry = internal::decodeOrLog(
+            this->log, this->counters, platform::upstreamKind, event.key,
+            [&] { return platform::decodeUpstream(event.key, *event.value); });
+    return change;
+}
+
 void ViewFollower::onConfiguration(const WatchUpdate &update)
 {
-    this->mirror.apply(platform::configurationKind, update);
+    this->targets.mirror.apply(platform::configurationKind, update);
     for (const WatchEvent &event : update.events) {
         if (event.key != platform::configurationName || !event.value)
             continue;
@@ -137,21 +134,21 @@
             [&] { return platform::decodeConfiguration(*event.value); });
         if (!configuration)
             continue;
-        const std::uint64_t before = this->routes.version();
-        if (!this->routes.update(std::move(*configuration), internal::viewNow()))
+        const std::uint64_t before = this->targets.routes.version();
+        if (!this->targets.routes.update(std::move(*configuration), this->scheduler.now()))
             continue;
-        this->steering.refreshColdBudgets();
-        this->log.info("configuration_in_force", {{"version", this->routes.version()},
+        this->targets.steering.refreshColdBudgets();
+        this->log.info("configuration_in_force", {{"version", this->targets.routes.version()},
                                                   {"before", before},
                                                   {"revision", event.version},
-                                                  {"routes", this->routes.size()}});
+                                                  {"routes", this->targets.routes.size()}});
     }
     this->onChange();
 }
 
 void ViewFollower::onEvacuations(const WatchUpdate &update)
 {
-    this->mirror.apply(platform::evacuationKind, update);
+    this->targets.mirror.apply(platform::evacuationKind, update);
     std::set<std::string> next = update.complete ? std::set<std::string>() : this->evacuated;
     for (const WatchEvent &event : update.events) {
         if (event.value)
@@ -174,7 +171,7 @@
 
 void ViewFollower::onMembers(const WatchUpdate &update)
 {
-    this->mirror.apply(platform::instanceKind, update);
+    this->targets.mirror.apply(platform::instanceKind, update);
     if (update.complete)
         this->members.clear();
     for (const WatchEvent &event : update.events) {
@@ -185,13 +182,14 @@
             this->log, this->counters, platform::instanceKind, event.key,
             [&] { return platform::decodeMember(event.key, *event.value); });
         if (member)
-            this->members.emplace(event.key, std::move(*member));
+            this->members.emplace(event.key, MemberEntry{std::move(*member), event.version});
     }
-    std::vector<balance::Member> all;
-    for (const auto &[name, member] : this->members)
-        all.push_back(member);
-    this->sources.update(all, internal::viewNow());
-    this->steering.setInstancesPerDomain(this->sources.instancesInDomain());
+    std::vector<Member> all;
+    for (const auto &[name, entry] : this->members)
+        all.push_back(entry.member);
+    this->targets.sources.update(all, this->scheduler.now());
+    this->targets.sweeper.update(this->members);
+    this->targets.steering.setInstancesPerDomain(this->targets.sources.instancesInDomain());
     if (!std::exchange(this->membersKnown, true)) {
         // Only now is it known whether another instance can be followed.
         this->configurationWatch.start();
@@ -201,37 +199,32 @@
     this->onChange();
 }
 
-void ViewFollower::verifyUpstreams(WatchableStore &registry)
+void ViewFollower::verifyUpstreams(ObjectSource &registry)
 {
-    const TimePoint now = internal::viewNow();
+    const TimePoint now = this->scheduler.now();
     if (now - this->verificationAt < internal::verificationInterval)
         return;
     this->verificationAt = now;
     registry.list(platform::upstreamKind, [this, now](const ListOutcome &outcome) {
         if (outcome.result != PlatformResult::Ok)
             return;
-        for (const StoredObject &object : outcome.objects)
-            this->putUpstream(object.key, object.version, object.value);
-        this->steering.viewVerified(now);
+        std::vector<RegistryChange> changes;
+        for (const StoredObject &object : outcome.objects) {
+            auto change = this->changeOf({object.key, object.version, object.value});
+            if (change.entry)
+                changes.push_back(std::move(change));
+        }
+        this->targets.directory.update(changes, this->scheduler.now());
+        this->targets.steering.viewVerified(now);
         this->log.info("registry_verified",
                        {{"revision", outcome.revision}, {"entries", outcome.objects.size()}});
     });
 }
 
-void ViewFollower::putUpstream(const std::string &name, std::uint64_t version,
-                               const boost::json::value &spec)
-{
-    const auto entry
-        = internal::decodeOrLog(this->log, this->counters, platform::upstreamKind, name,
-                                [&] { return platform::decodeUpstream(name, spec); });
-    if (entry)
-        this->directory.put({*entry, version}, internal::viewNow());
-}
-
-bool ViewFollower::hasMember(const balance::Member &member) const
+bool ViewFollower::hasMember(const Member &member) const
 {
     const auto found = this->members.find(member.name);
-    return found != this->members.end() && found->second == member;
+    return found != this->members.end() && found->second.member == member;
 }
 
 void ViewFollower::setEvacuated(const std::string &domain, bool isEvacuated)
@@ -240,9 +233,9 @@
         this->evacuated.insert(domain);
     else
         this->evacuated.erase(domain);
-    this->directory.setEvacuated(domain, isEvacuated);
+    this->targets.directory.setEvacuated(domain, isEvacuated);
     if (!isEvacuated)
-        this->steering.domainReturned(domain, internal::viewNow());
+        this->targets.steering.domainReturned(domain, this->scheduler.now());
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
@@ -251,7 +244,7 @@
     if (reachable) {
         this->unreachable.erase(std::string(kind));
         if (kind == platform::upstreamKind && this->store.takeStoreFailure())
-            this->directory.registryReturned(internal::viewNow());
+            this->targets.directory.registryReturned(this->scheduler.now());
         this->log.info("dependency_regained", {{"dependency", "store"}, {"kind", kind}});
     } else {
         this->unreachable.insert(std::string(kind));
@@ -261,4 +254,4 @@
     this->onChange();
 }
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/role/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -1,40 +1,49 @@
 #pragma once
 
-#include "balance/PacketSteering.h"
 #include "base/Counters.h"
-#include "role/ObjectMirror.h"
-#include "role/SourcedStore.h"
+#include "base/Scheduler.h"
 #include "service/Log.h"
-#include "store/ObjectWatch.h"
-
-#include <boost/asio/io_context.hpp>
+#include "steering/PacketSteering.h"
+#include "view/MemberSweeper.h"
+#include "view/ObjectMirror.h"
+#include "view/ObjectWatch.h"
+#include "view/SourcedStore.h"
 
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
 
-namespace bulrushgap {
+namespace bulrushgap::balance {
+
+/** \brief What the view of the deployment is applied to. */
+struct ViewTargets
+{
+    UpstreamDirectory &directory;
+    RouteTable &routes;
+    PacketSteering &steering;
+    ViewSources &sources;
+    ObjectMirror &mirror;
+    MemberSweeper &sweeper;
+};
 
-/** \brief Follows registry, configuration and evacuations in the store and applies them. */
+/** \brief Follows registry, configuration, evacuations and instances in the store. */
 class ViewFollower
 {
 public:
     /** \brief Called after the view or its freshness has changed. */
     using ChangeHandler = std::function<void()>;
 
-    ViewFollower(boost::asio::io_context &context, SourcedStore &store, Random &random,
-                 balance::UpstreamDirectory &directory, balance::RouteTable &routes,
-                 balance::PacketSteering &steering, balance::ViewSources &sources,
-                 ObjectMirror &mirror, Counters &counters, Log &log, ChangeHandler onChange);
+    ViewFollower(const Scheduler &scheduler, SourcedStore &store, Random &random,
+                 ViewTargets targets, Counters &counters, Log &log, ChangeHandler onChange);
 
     void start();
 
     /** \brief Reads all entries from \a registry and adds what a watch has missed. */
-    void verifyUpstreams(WatchableStore &registry);
+    void verifyUpstreams(ObjectSource &registry);
 
     /** \returns whether the store has an up-to-date entry of this instance. */
-    [[nodiscard]] bool hasMember(const balance::Member &member) const;
+    [[nodiscard]] bool hasMember(const Member &member) const;
 
     /** \returns whether registry, configuration and evacuations have been read. */
     [[nodiscard]] bool isComplete() const;
@@ -43,18 +52,14 @@
     void onUpstreams(const WatchUpdate &update);
     void onConfiguration(const WatchUpdate &update);
     void onEvacuations(const WatchUpdate &update);
-    void putUpstream(const std::string &name, std::uint64_t version,
-                     const boost::json::value &spec);
+    [[nodiscard]] RegistryChange changeOf(const WatchEvent &event);
     void onMembers(const WatchUpdate &update);
     void onReachable(std::string_view kind, bool reachable);
     void setEvacuated(const std::string &domain, bool evacuated);
 
+    const Scheduler &scheduler;
     SourcedStore &store;
-    balance::UpstreamDirectory &directory;
-    balance::RouteTable &routes;
-    balance::PacketSteering &steering;
-    balance::ViewSources &sources;
-    ObjectMirror &mirror;
+    ViewTargets targets;
     Counters &counters;
     Log &log;
     ChangeHandler onChange;
@@ -62,7 +67,7 @@
     ObjectWatch configurationWatch;
     ObjectWatch evacuationWatch;
     ObjectWatch memberWatch;
-    std::map<std::string, balance::Member> members;
+    MemberEntries members;
     std::set<std::string> evacuated;
     std::set<std::string> unreachable;
     TimePoint verificationAt{};
@@ -71,4 +76,4 @@
     bool evacuationsKnown = false;
 };
 
-} // namespace bulrushgap
+} // namespace bulrushgap::balance
--- a/src/balance/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -2,6 +2,7 @@
 
 #include "base/Endpoint.h"
 #include "base/Time.h"
+#include "view/Member.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -13,17 +14,6 @@
 
 namespace bulrushgap::balance {
 
-/** \brief An instance of the deployment as it has registered itself. */
-struct Member
-{
-    std::string name;
-    std::string domain;
-    Endpoint peer;
-    std::uint32_t capacity = 0; //!< Link rate in Mbit/s; greater ones serve others first.
-
-    friend bool operator==(const Member &, const Member &) = default;
-};
-
 /** \brief Chooses from where an instance learns the deployment's state.
  *
  * Answers the load of hundreds of instances on the platform's store: in each failure domain the
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -1,4 +1,4 @@
-#include "balance/PacketSteering.h"
+#include "steering/PacketSteering.h"
 
 #include <catch2/catch.hpp>
 
@@ -67,7 +67,7 @@
         entry.service = service;
         entry.domain = domain;
         entry.slots = 2;
-        this->directory.put({entry, this->revision}, at(0));
+        this->directory.update(std::vector<RegistryChange>{{name, this->revision, entry}}, at(0));
     }
 
     /** \brief Advances the clock in steps of 5 ms; probes get \a result after 110 ms or at once. */
@@ -84,7 +84,7 @@
                 if (this->now - started < duration)
                     continue;
                 this->probes.erase(this->probes.begin() + static_cast<std::ptrdiff_t>(i--));
-                this->steering.probed(upstream, result, at(this->now));
+                this->steering.probed(upstream, result, at(started), at(this->now));
             }
         }
     }
@@ -111,6 +111,8 @@
     std::vector<std::pair<UpstreamIndex, int>> probes;
     std::vector<Endpoint> resets;
     unsigned verifications = 0;
+    unsigned witnesses = 0;
+    bool witnessReached = true;
     std::uint64_t revision = 0;
     int now = 0;
     PacketSteering steering;
@@ -122,6 +124,11 @@
         result.startProbe = [this](UpstreamIndex upstream) {
             this->probes.emplace_back(upstream, this->now);
         };
+        result.startWitness = [this](UpstreamIndex) {
+            ++this->witnesses;
+            if (this->witnessReached)
+                this->steering.witnessed(at(this->now), at(this->now));
+        };
         result.sharesBudget = [](std::string_view, unsigned) {
             return true;
         };
@@ -291,6 +298,48 @@
     CHECK(world.resets.size() == test.resets);
 }
 
+// Guards against resets of flows whose upstream serves: probes had no answer in time because the
+// instance's own link was full, and every other answer was as late (sweep of cv-bogota-grown, 300
+// machines).
+TEST_CASE("probes prove nothing while no other upstream is reached either", "[PacketSteering]")
+{
+    struct Case
+    {
+        const char *what;
+        bool witnessReached;
+        int lastAnswer; //!< When a caller acknowledged something of another upstream.
+        std::size_t resets;
+    };
+    const auto test = GENERATE(values<Case>({
+        {"the upstream is dead", true, 1'000, 1},
+        {"the link is full, answers come late", false, 1'250, 0},
+        {"the instance is cut off from all", false, 900, 1},
+    }));
+    INFO(test.what);
+    SteeringWorld world;
+    world.addUpstream("a-1", "a");
+    world.addUpstream("a-2", "a");
+    const std::uint32_t subject = world.tagOf(0);
+    const std::uint32_t other = world.tagOf(1);
+    static_cast<void>(world.decide(data(caller(1), subject, 100, 500, 0), 0));
+    static_cast<void>(world.decide(data(caller(2), other, 100, 500, 0), 0));
+    world.witnessReached = test.witnessReached;
+    const std::map<UpstreamIndex, ProbeResult> results{{0, ProbeResult::TimedOut}};
+    const auto sendRequest = [&] {
+        world.runUntil(1'000, results);
+        static_cast<void>(world.decide(data(caller(1), subject, 100, 500, 50), 1'000));
+    };
+    if (test.lastAnswer > 1'000)
+        sendRequest();
+    world.runUntil(test.lastAnswer, results);
+    static_cast<void>(world.decide(data(caller(2), other, 100, 500, 0), test.lastAnswer - 10));
+    static_cast<void>(world.decide(data(caller(2), other, 100, 501, 0), test.lastAnswer));
+    if (test.lastAnswer <= 1'000)
+        sendRequest();
+    world.runUntil(1'760, results);
+    CHECK(world.resets.size() == test.resets);
+}
+
 // Guards against the next requests of flows to an upstream that is known to be dead.
 TEST_CASE("a request on a flow of an unreachable upstream is reset at once", "[PacketSteering]")
 {
@@ -306,6 +355,36 @@
     CHECK(decision.action == Action::Reset);
 }
 
+// Guards against callers that wait for an upstream although all are known to be dead, and against a
+// refusal that looks at some of them only.
+TEST_CASE("a new flow is refused at once when all upstreams are proven dead", "[PacketSteering]")
+{
+    const int upstreams = GENERATE(3, 60);
+    SteeringWorld world;
+    for (int i = 0; i < upstreams; ++i)
+        world.addUpstream("b-" + std::to_string(i), "b");
+    const auto prove = [&](UpstreamIndex upstream) {
+        UpstreamHealth &health = world.directory.at(upstream).health;
+        static_cast<void>(health.suspect(at(0)));
+        for (int probe = 0; probe < 2; ++probe)
+            static_cast<void>(health.probed(ProbeResult::TimedOut, at(1)));
+    };
+    const UpstreamIndex last = 1;
+    for (int i = 0; i < upstreams; ++i) {
+        if (static_cast<UpstreamIndex>(i) != last)
+            prove(static_cast<UpstreamIndex>(i));
+    }
+    for (unsigned i = 0; i < 20; ++i)
+        CHECK(world.decide(syn(caller(i)), 10).upstream == last);
+    prove(last);
+    const auto decision = world.decide(syn(caller(30)), 20);
+    CHECK(decision.action == Action::Reset);
+    CHECK(decision.reason == SteeringReason::AllUnreachable);
+    // A probe that connects ends it.
+    world.steering.probed(2, ProbeResult::Connected, at(29), at(30));
+    CHECK(world.decide(syn(caller(31)), 31).upstream == 2);
+}
+
 // Guards against a dead upstream that seems to live: another instance carried the flow meanwhile,
 // so what its caller acknowledges says nothing of the present.
 TEST_CASE("old answers are no sign of life", "[PacketSteering]")
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -1,6 +1,8 @@
 #include "Loopback.h"
+#include "service/AsioScheduler.h"
 #include "service/HttpRoutes.h"
 #include "store.h"
+#include "view/ObjectWatch.h"
 
 #include <boost/json.hpp>
 
@@ -115,8 +117,9 @@
     PlatformFixture platform(settings);
     std::vector<WatchUpdate> updates;
     std::vector<bool> reachable;
+    const Scheduler scheduler = asioScheduler(platform.context);
     ObjectWatch watch(
-        platform.context, platform.client, platform.random, "service/",
+        scheduler, platform.client, platform.random, "service/",
         [&](const WatchUpdate &update) { updates.push_back(update); },
         [&](bool now) { reachable.push_back(now); });
     watch.start();
--- a/tests/RouteTable.cpp
+++ b/tests/RouteTable.cpp
@@ -1,4 +1,4 @@
-#include "balance/RouteTable.h"
+#include "directory/RouteTable.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -1,8 +1,11 @@
-#include "role/SourcedStore.h"
+#include "view/SourcedStore.h"
 
 #include "Loopback.h"
 #include "platform/ObjectCodec.h"
-#include "role/ObjectMirror.h"
+#include "platform/StoreClient.h"
+#include "role/MirrorServer.h"
+#include "service/AsioScheduler.h"
+#include "view/ObjectMirror.h"
 
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
@@ -11,17 +14,20 @@
 #include <vector>
 
 using namespace bulrushgap;
+using namespace bulrushgap::balance;
 
 namespace {
 
 const Endpoint anyPort{0x7f000001, 0};
 
 /** \brief A mirror on a loopback port, in the place of the store or of another instance. */
-struct MirrorServer
+struct MirrorProcess
 {
-    explicit MirrorServer(boost::asio::io_context &context)
-        : server(context, anyPort)
-        , mirror(context, this->server, [this] { return this->direct; })
+    explicit MirrorProcess(boost::asio::io_context &context)
+        : scheduler(asioScheduler(context))
+        , server(context, anyPort)
+        , mirror(this->scheduler, [this] { return this->direct; })
+        , adapter(this->server, this->mirror)
         , endpoint(startServer(this->server))
     {}
 
@@ -34,8 +40,10 @@
     }
 
     bool direct = true;
+    Scheduler scheduler;
     HttpServer server;
     ObjectMirror mirror;
+    MirrorServer adapter;
     Endpoint endpoint;
 };
 
@@ -43,21 +51,28 @@
 struct Follower
 {
     Follower(boost::asio::io_context &context, Endpoint peer, Endpoint storeEndpoint)
-        : store(context, storeEndpoint, this->counters)
+        : scheduler(asioScheduler(context))
+        , store(context, storeEndpoint, this->counters)
         , sources("a-2", "a")
-        , sourced(context, this->store, this->sources, this->counters, this->log, [] {})
+        , sourced(this->scheduler, this->store, this->sources, this->counters, this->log,
+                  {[&](Endpoint address) {
+                       return std::make_unique<platform::StoreClient>(
+                           context, address, this->counters, "peer", platform::peerTimeouts());
+                   },
+                   [] {
+                   }})
     {
-        const std::vector<balance::Member> members{{"a-1", "a", peer, 9},
-                                                   {"a-2", "a", Endpoint{1, 1}, 1}};
+        const std::vector<Member> members{{"a-1", "a", peer, 9}, {"a-2", "a", Endpoint{1, 1}, 1}};
         this->sources.update(members, TimePoint{});
         this->sources.started();
     }
 
+    Scheduler scheduler;
     Counters counters;
     Log log{LogOptions{20, {}, [](LogLevel, const std::string &) {
                        }}};
     platform::StoreClient store;
-    balance::ViewSources sources;
+    ViewSources sources;
     SourcedStore sourced;
 };
 
@@ -75,8 +90,8 @@
 TEST_CASE("another instance answers lists and watches as the store does", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorServer peer(context);
-    MirrorServer store(context);
+    MirrorProcess peer(context);
+    MirrorProcess store(context);
     Follower follower(context, peer.endpoint, store.endpoint);
     peer.add("servers", "i-1", 5, true);
     const auto list = await<ListOutcome>(context, [&](WatchableStore::ListHandler handler) {
@@ -99,7 +114,7 @@
 TEST_CASE("a watch from before the known history is told so", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorServer peer(context);
+    MirrorProcess peer(context);
     Follower follower(context, peer.endpoint, peer.endpoint);
     peer.add("servers", "i-1", 5, true);
     CHECK(watch(context, follower.sourced, "servers", 4).result == PlatformResult::Gone);
@@ -110,7 +125,7 @@
 TEST_CASE("a waiting watch is answered by a change", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorServer peer(context);
+    MirrorProcess peer(context);
     Follower follower(context, peer.endpoint, peer.endpoint);
     peer.add("servers", "i-1", 5, true);
     static_cast<void>(watch(context, follower.sourced, "servers", 5));
@@ -130,8 +145,8 @@
           "[SourcedStore]")
 {
     boost::asio::io_context context;
-    auto peer = std::make_unique<MirrorServer>(context);
-    MirrorServer store(context);
+    auto peer = std::make_unique<MirrorProcess>(context);
+    MirrorProcess store(context);
     Follower follower(context, peer->endpoint, store.endpoint);
     const std::vector<std::string> kinds{"servers", "config", "evacuations", "instances"};
     for (const std::string &kind : kinds) {
@@ -160,8 +175,8 @@
 TEST_CASE("an instance that does not follow the store answers nobody", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorServer peer(context);
-    MirrorServer store(context);
+    MirrorProcess peer(context);
+    MirrorProcess store(context);
     Follower follower(context, peer.endpoint, store.endpoint);
     peer.add("servers", "i-1", 5, true);
     peer.direct = false;
--- a/tests/UpstreamDirectory.cpp
+++ b/tests/UpstreamDirectory.cpp
@@ -1,4 +1,4 @@
-#include "balance/UpstreamDirectory.h"
+#include "directory/UpstreamDirectory.h"
 
 #include <catch2/catch.hpp>
 
@@ -33,6 +33,18 @@
     return {upstream, revision};
 }
 
+void put(UpstreamDirectory &directory, const RegistryEntry &entry, TimePoint now)
+{
+    directory.update(std::vector<RegistryChange>{{entry.entry.name, entry.revision, entry.entry}},
+                     now);
+}
+
+void remove(UpstreamDirectory &directory, const std::string &name, std::uint64_t revision,
+            TimePoint now)
+{
+    directory.update(std::vector<RegistryChange>{{name, revision, std::nullopt}}, now);
+}
+
 std::vector<std::string> candidateNames(const UpstreamDirectory &directory)
 {
     std::vector<std::string> names;
@@ -54,9 +66,9 @@
     const RegistryEntry other = entry("a-2", 6, UpstreamState::Ready, "10.0.0.2:80");
     directory.replaceAll(std::vector{entry("a-1", 5), other}, at(0));
     const std::uint32_t tag = directory.at(0).flowTag;
-    directory.put(entry("a-1", 7, UpstreamState::Draining), at(10));
+    put(directory, entry("a-1", 7, UpstreamState::Draining), at(10));
     CHECK(candidateNames(directory) == Names{"a-2"});
-    directory.remove("a-1", 8, at(20));
+    remove(directory, "a-1", 8, at(20));
     CHECK(candidateNames(directory) == Names{"a-2"});
     CHECK(directory.findByTag(tag) == 0);
     CHECK_FALSE(directory.isReplaced(0));
@@ -66,11 +78,11 @@
 TEST_CASE("an older event changes nothing", "[UpstreamDirectory]")
 {
     UpstreamDirectory directory({});
-    directory.put(entry("a-1", 9, UpstreamState::Draining), at(0));
-    directory.put(entry("a-1", 8), at(10));
+    put(directory, entry("a-1", 9, UpstreamState::Draining), at(0));
+    put(directory, entry("a-1", 8), at(10));
     CHECK(candidateNames(directory).empty());
-    directory.put(entry("a-2", 12), at(10));
-    directory.remove("a-2", 11, at(20));
+    put(directory, entry("a-2", 12), at(10));
+    remove(directory, "a-2", 11, at(20));
     CHECK(candidateNames(directory) == Names{"a-2"});
 }
 
@@ -95,9 +107,9 @@
 TEST_CASE("an upstream whose address another has is replaced", "[UpstreamDirectory]")
 {
     UpstreamDirectory directory({});
-    directory.put(entry("a-1", 5), at(0));
-    directory.remove("a-1", 6, at(10));
-    directory.put(entry("a-2", 7), at(20));
+    put(directory, entry("a-1", 5), at(0));
+    remove(directory, "a-1", 6, at(10));
+    put(directory, entry("a-2", 7), at(20));
     CHECK(directory.isReplaced(0));
     CHECK_FALSE(directory.isReplaced(1));
 }
@@ -108,9 +120,9 @@
     std::vector<DirectoryChange::Kind> changes;
     UpstreamDirectory directory(
         [&](const DirectoryChange &change) { changes.push_back(change.kind); });
-    directory.put(entry("a-1", 5), at(0));
+    put(directory, entry("a-1", 5), at(0));
     CHECK(directory.at(0).health.suspect(at(10)));
-    directory.put(entry("a-1", 6, UpstreamState::Ready, "10.0.0.1:80", 2), at(20));
+    put(directory, entry("a-1", 6, UpstreamState::Ready, "10.0.0.1:80", 2), at(20));
     CHECK(directory.at(0).health.liveness() == Liveness::Alive);
     CHECK(directory.size() == 1);
     CHECK(changes == std::vector{DirectoryChange::Kind::Added, DirectoryChange::Kind::Restarted});
@@ -120,11 +132,37 @@
 TEST_CASE("an evacuated domain has no candidates until it returns", "[UpstreamDirectory]")
 {
     UpstreamDirectory directory({});
-    directory.put(entry("a-1", 5), at(0));
+    put(directory, entry("a-1", 5), at(0));
     directory.setEvacuated("yala", true);
     CHECK(candidateNames(directory).empty());
-    directory.put(entry("a-2", 6), at(10));
+    put(directory, entry("a-2", 6), at(10));
     CHECK(candidateNames(directory).empty());
     directory.setEvacuated("yala", false);
     CHECK(candidateNames(directory) == Names{"a-1", "a-2"});
 }
+
+// Guards against memory that grows with each upstream that ever was, and against flows that lose
+// their upstream because its index was given to another.
+TEST_CASE("an upstream that left is forgotten after the longest flow", "[UpstreamDirectory]")
+{
+    constexpr int minuteMs = 60'000;
+    UpstreamDirectory directory({});
+    put(directory, entry("a-1", 5), at(0));
+    const std::uint32_t tag = directory.at(0).flowTag;
+    remove(directory, "a-1", 6, at(0));
+    directory.at(0).openFlows = 1;
+    directory.expire(at(4 * minuteMs));
+    CHECK(directory.findByTag(tag) == 0);
+    directory.at(0).openFlows = 0;
+    directory.expire(at(4 * minuteMs));
+    CHECK(directory.findByTag(tag) == noUpstream);
+    for (unsigned i = 0; i < 20; ++i) {
+        const int now = static_cast<int>(5 + 5 * i) * minuteMs;
+        const std::string name = "b-" + std::to_string(i);
+        put(directory, entry(name, 10 + 2 * i), at(now));
+        CHECK(candidateNames(directory) == Names{name});
+        remove(directory, name, 11 + 2 * i, at(now));
+        directory.expire(at(now + 4 * minuteMs));
+    }
+    CHECK(directory.size() == 1);
+}
--- a/tests/UpstreamHealth.cpp
+++ b/tests/UpstreamHealth.cpp
@@ -1,4 +1,4 @@
-#include "balance/UpstreamHealth.h"
+#include "health/UpstreamHealth.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/ViewSources.cpp
+++ b/tests/ViewSources.cpp
@@ -1,4 +1,4 @@
-#include "balance/ViewSources.h"
+#include "view/ViewSources.h"
 
 #include <catch2/catch.hpp>
 
