--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -1,6 +1,8 @@
 # The program with only the commands that run on the users' platform, for deploy/system.toml.
 set(Boost_USE_STATIC_LIBS ON)
 find_package(Boost 1.81 REQUIRED COMPONENTS program_options json url)
+find_package(PkgConfig REQUIRED)
+pkg_check_modules(flatbuffers REQUIRED IMPORTED_TARGET flatbuffers)
 
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp src/balancer/*.cpp src/base/*.cpp
      src/coldstart/*.cpp src/directory/*.cpp src/health/*.cpp src/placement/*.cpp src/service/*.cpp
@@ -16,8 +18,10 @@
     src/role/BalancerCommand.cpp
     src/role/BalancerRole.cpp
     src/role/ConnectionProber.cpp
-    src/role/MirrorServer.cpp
     src/role/PacketPort.cpp
+    src/role/PeerViewClient.cpp
+    src/role/PeerViewServer.cpp
+    src/role/ViewFrame.cpp
     src/store/CallResult.cpp
     src/store/ObjectStore.cpp)
 target_include_directories(bulrushgap PRIVATE src ${CMAKE_CURRENT_SOURCE_DIR})
@@ -27,4 +31,4 @@
                     -Wl,-z,now -no-pie)
 set_target_properties(bulrushgap PROPERTIES POSITION_INDEPENDENT_CODE OFF)
 target_link_libraries(bulrushgap PRIVATE Boost::headers Boost::program_options Boost::json
-                                         Boost::url xxhash)
+                                         Boost::url PkgConfig::flatbuffers xxhash)
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -44,7 +44,7 @@
 } // namespace internal
 
 Balancer::Balancer(BalancerProfile profile, const Scheduler &scheduler, ObjectSource &store,
-                   ObjectWriter &writer, Random &random, Counters &counters, Log &log,
+                   MemberStore &memberStore, Random &random, Counters &counters, Log &log,
                    BalancerHooks hooks)
     : profile(std::move(profile))
     , scheduler(scheduler)
@@ -61,13 +61,15 @@
                     [this] {
                         this->mirror.refuseWaiting();
                     }})
-    , mirror(scheduler, [this] { return this->mayServeView(); })
-    , sweeper(scheduler, writer, this->profile.self.name, counters, log, this->sweeperHooks())
+    , mirror(
+          scheduler, [this] { return this->mayServeView(); },
+          [this](ViewKind kind) { return this->view.snapshot(kind); })
+    , sweeper(scheduler, memberStore, this->profile.self.name, counters, log, this->sweeperHooks())
     , view(scheduler, this->sourcedStore, random,
            {this->directory, this->routes, this->steering, this->sources, this->mirror,
             this->sweeper},
            counters, log, [this] { this->onViewChange(); })
-    , registration(scheduler, writer, random, this->profile.self, log)
+    , registration(scheduler, memberStore, random, this->profile.self, log)
 {}
 
 SteeringHooks Balancer::steeringHooks()
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -57,7 +57,7 @@
 {
 public:
     Balancer(BalancerProfile profile, const Scheduler &scheduler, ObjectSource &store,
-             ObjectWriter &writer, Random &random, Counters &counters, Log &log,
+             MemberStore &memberStore, Random &random, Counters &counters, Log &log,
              BalancerHooks hooks);
 
     /** \brief Reads the view; at a first start the instances enter themselves before that. */
--- a/src/directory/Configuration.h
+++ b/src/directory/Configuration.h
@@ -20,6 +20,8 @@
 {
     std::string service;
     unsigned weight = 1;
+
+    friend bool operator==(const ServiceShare &, const ServiceShare &) = default;
 };
 
 /** \brief Address that callers connect to and the services behind it. */
@@ -29,6 +31,8 @@
     Endpoint address;
     std::vector<ServiceShare> services;
     RequestKind kind = RequestKind::Idempotent;
+
+    friend bool operator==(const Route &, const Route &) = default;
 };
 
 /** \brief Properties of a service that placement depends on. */
@@ -38,6 +42,8 @@
     Duration slowStart{};               //!< How long an upstream stays cold after its start.
     double coldRequestsPerSecond = 0.0; //!< What a cold upstream bears; 0 for no limit.
     unsigned maxConnections = 0;        //!< Flows that an upstream holds; 0 for no limit.
+
+    friend bool operator==(const ServiceLimits &, const ServiceLimits &) = default;
 };
 
 /** \brief One accepted version of the operators' configuration. */
--- a/src/directory/RouteTable.cpp
+++ b/src/directory/RouteTable.cpp
@@ -25,14 +25,14 @@
 
 } // namespace internal
 
-bool RouteTable::update(Configuration next, TimePoint now)
+bool RouteTable::update(std::shared_ptr<const Configuration> next, TimePoint now)
 {
-    if (this->loaded && next.version <= this->current.version)
+    if (this->loaded && next->version <= this->current->version)
         return false;
     boost::unordered_flat_map<std::uint64_t, std::size_t> index;
-    index.reserve(next.routes.size());
-    for (std::size_t i = 0; i < next.routes.size(); ++i)
-        index.emplace(internal::addressKey(next.routes[i].address), i);
+    index.reserve(next->routes.size());
+    for (std::size_t i = 0; i < next->routes.size(); ++i)
+        index.emplace(internal::addressKey(next->routes[i].address), i);
     for (const auto &[key, position] : this->byAddress) {
         if (!index.contains(key))
             this->removed.insert(key);
@@ -40,7 +40,7 @@
     for (const auto &[key, position] : index)
         this->removed.erase(key);
     this->forgetOldRemovals();
-    for (const Route &route : next.routes) {
+    for (const Route &route : next->routes) {
         for (const ServiceShare &share : route.services)
             this->served.insert(internal::servedKey(route.address, share.service));
     }
@@ -62,7 +62,7 @@
 const Route *RouteTable::find(Endpoint address) const
 {
     const auto found = this->byAddress.find(internal::addressKey(address));
-    return found == this->byAddress.end() ? nullptr : &this->current.routes[found->second];
+    return found == this->byAddress.end() ? nullptr : &this->current->routes[found->second];
 }
 
 bool RouteTable::wasRemoved(Endpoint address) const
@@ -78,7 +78,7 @@
 const ServiceLimits &RouteTable::limits(std::string_view service) const
 {
     static const ServiceLimits none;
-    const auto &services = this->current.services;
+    const auto &services = this->current->services;
     const auto found = std::ranges::find(services, service, &ServiceLimits::name);
     return found == services.end() ? none : *found;
 }
--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -7,6 +7,7 @@
 #include <boost/unordered/unordered_flat_set.hpp>
 
 #include <cstdint>
+#include <memory>
 #include <string_view>
 
 namespace bulrushgap::balance {
@@ -16,7 +17,7 @@
 {
 public:
     /** \brief Takes \a next over if its version is greater. \returns whether it did. */
-    bool update(Configuration next, TimePoint now);
+    bool update(std::shared_ptr<const Configuration> next, TimePoint now);
 
     /** \returns the route at \a address, or nullptr. */
     [[nodiscard]] const Route *find(Endpoint address) const;
@@ -33,14 +34,14 @@
     [[nodiscard]] const ServiceLimits &limits(std::string_view service) const;
 
     [[nodiscard]] bool isLoaded() const { return this->loaded; }
-    [[nodiscard]] std::uint64_t version() const { return this->current.version; }
-    [[nodiscard]] std::size_t size() const { return this->current.routes.size(); }
+    [[nodiscard]] std::uint64_t version() const { return this->current->version; }
+    [[nodiscard]] std::size_t size() const { return this->current->routes.size(); }
     [[nodiscard]] TimePoint updatedAt() const { return this->changedAt; }
 
 private:
     void forgetOldRemovals();
 
-    Configuration current;
+    std::shared_ptr<const Configuration> current = std::make_shared<const Configuration>();
     bool loaded = false;
     TimePoint changedAt{};
     boost::unordered_flat_map<std::uint64_t, std::size_t> byAddress;
--- a/src/peer/PeerLink.h
+++ b/src/peer/PeerLink.h
@@ -3,8 +3,9 @@
 #include "base/Counters.h"
 #include "base/Time.h"
 #include "peer/ByteBudget.h"
-#include "peer/FrameReader.h"
+#include "peer/MessageCodec.h"
 #include "peer/PeerMeshSettings.h"
+#include "service/FrameReader.h"
 #include "wire/Bytes.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -94,7 +95,7 @@
     ByteBudget &budget;
     Counters &counters;
     PeerLinkHooks hooks;
-    FrameReader reader;
+    FrameReader reader{maximalFrameSize};
     std::array<std::byte, 16384> input{};
     std::array<Queue, 3> queues; //!< By priority.
     std::array<std::size_t, 3> queuedBytes{};
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -1,6 +1,7 @@
 #include "role/BalancerRole.h"
 
 #include "platform/PacketCodec.h"
+#include "role/PeerViewClient.h"
 #include "service/AsioScheduler.h"
 
 #include <boost/leaf/error.hpp>
@@ -16,14 +17,6 @@
 /** A machine that lives accepts a connection within a few milliseconds from any domain. */
 constexpr Duration probeTimeout = std::chrono::milliseconds(110);
 
-HttpServerLimits peerServerLimits()
-{
-    HttpServerLimits limits;
-    limits.bodyBytes = 1'024; // Reads have no body.
-    limits.connections = 400; // Each instance that follows this one holds up to four.
-    return limits;
-}
-
 LogOptions logOptions(const BalancerSettings &settings, LogPipe &pipe)
 {
     LogOptions options;
@@ -65,8 +58,7 @@
     , prober(context, internal::probeTimeout)
     , balancer(internal::profileOf(this->settings), this->scheduler, this->store, this->store,
                this->random, this->counters, this->log, this->hooks())
-    , peerServer(context, this->settings.peerAddress, internal::peerServerLimits())
-    , mirrorServer(this->peerServer, this->balancer.objectMirror())
+    , viewServer(context, this->settings.peerAddress, this->balancer.objectMirror(), this->counters)
     , port(
           context, this->settings.packetAddress, platform::upstreamIdBytes,
           platform::maxDatagramBytes,
@@ -90,8 +82,7 @@
         this->reset(flow);
     };
     result.connectPeer = [this](Endpoint peer) {
-        return std::make_unique<platform::StoreClient>(this->context, peer, this->counters, "peer",
-                                                       platform::peerTimeouts());
+        return std::make_unique<PeerViewClient>(this->context, peer, this->counters);
     };
     result.onReady = [this](bool late) {
         this->port.startReading(late);
@@ -121,7 +112,7 @@
                        [this](const HttpRequestView &) { return this->renderMetrics(); });
     BOOST_LEAF_CHECK(this->server.start());
     this->port.open();
-    BOOST_LEAF_CHECK(this->peerServer.start());
+    BOOST_LEAF_CHECK(this->viewServer.start());
     this->balancer.start();
     return {};
 }
--- a/src/role/BalancerRole.h
+++ b/src/role/BalancerRole.h
@@ -4,8 +4,8 @@
 #include "base/Counters.h"
 #include "platform/StoreClient.h"
 #include "role/ConnectionProber.h"
-#include "role/MirrorServer.h"
 #include "role/PacketPort.h"
+#include "role/PeerViewServer.h"
 #include "service/BalancerSettings.h"
 #include "service/HttpServer.h"
 #include "service/LogPipe.h"
@@ -55,8 +55,7 @@
     platform::StoreClient store;
     ConnectionProber prober;
     balance::Balancer balancer;
-    HttpServer peerServer;
-    MirrorServer mirrorServer;
+    PeerViewServer viewServer;
     PacketPort port;
     HttpServer server;
     std::optional<TimePoint> batchTime; //!< Read once for a batch of datagrams.
--- a/src/role/ObjectFeed.h
+++ b/src/role/ObjectFeed.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "plan/ObjectStoreView.h"
+#include "store/ObjectWatch.h"
 #include "store/PlatformClient.h"
-#include "view/ObjectWatch.h"
 
 #include <functional>
 #include <memory>
--- /dev/null
+++ b/src/role/PeerViewClient.cpp
@@ -0,0 +1,260 @@
+#include "role/PeerViewClient.h"
+
+#include "role/ViewFrame.h"
+#include "service/FrameReader.h"
+#include "view/ViewCodec.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <functional>
+#include <map>
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+using std::chrono::milliseconds;
+
+/** \brief One connection with the calls that wait on it; usable until it has failed. */
+struct PeerViewConnection : std::enable_shared_from_this<PeerViewConnection>
+{
+    /** Gets the message that answers a call, or nothing if the connection has failed. */
+    using Reply = std::function<void(std::optional<std::span<const std::byte>> message)>;
+
+    struct Call
+    {
+        Reply reply;
+        bool isWatch = false;
+        std::chrono::steady_clock::time_point dueAt;
+        milliseconds silence{0}; //!< Bytes that arrive put off the time; 0 if they do not.
+    };
+
+    explicit PeerViewConnection(boost::asio::io_context &context)
+        : socket(context)
+        , timer(context)
+    {}
+
+    void open(Endpoint peer, milliseconds timeout)
+    {
+        this->armTimer(std::chrono::steady_clock::now() + timeout);
+        this->socket.async_connect(
+            {boost::asio::ip::address_v4(peer.address), peer.port},
+            [self = this->shared_from_this()](boost::system::error_code error) {
+                if (self->failed)
+                    return;
+                if (error)
+                    return self->fail();
+                boost::system::error_code ignored;
+                self->socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+                self->connected = true;
+                self->armForCalls();
+                self->write();
+                self->read();
+            });
+    }
+
+    void send(const Bytes &message, milliseconds timeout, Call call)
+    {
+        const std::uint32_t number = ++this->lastNumber;
+        const Bytes frame = ViewFrame{number, message}.toBytes();
+        this->output.insert(this->output.end(), frame.begin(), frame.end());
+        call.dueAt = std::chrono::steady_clock::now() + timeout;
+        this->calls.emplace(number, std::move(call));
+        if (!this->connected)
+            return;
+        this->armForCalls();
+        this->write();
+    }
+
+    /** \brief Ends the connection; calls that wait get no answer. */
+    void drop()
+    {
+        this->failed = true;
+        this->calls.clear();
+        this->timer.cancel();
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+    }
+
+    /** \brief Ends the connection; lists that wait fail, watches get no answer. */
+    void dropWatches()
+    {
+        std::erase_if(this->calls, [](const auto &entry) { return entry.second.isWatch; });
+        this->fail();
+    }
+
+    void fail()
+    {
+        if (this->failed)
+            return;
+        auto waiting = std::exchange(this->calls, {});
+        this->drop();
+        for (auto &[number, call] : waiting)
+            call.reply(std::nullopt);
+    }
+
+    void write()
+    {
+        if (this->writing || this->output.empty())
+            return;
+        this->writing = true;
+        const auto bytes = std::make_shared<Bytes>(std::exchange(this->output, {}));
+        boost::asio::async_write(
+            this->socket, boost::asio::buffer(*bytes),
+            [self = this->shared_from_this(), bytes](boost::system::error_code error, std::size_t) {
+                self->writing = false;
+                if (error)
+                    self->fail();
+                else if (!self->failed)
+                    self->write();
+            });
+    }
+
+    void read()
+    {
+        this->socket.async_read_some(
+            boost::asio::buffer(this->input),
+            [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+                if (self->failed)
+                    return;
+                if (error)
+                    return self->fail();
+                self->onBytes(std::span<const std::byte>(self->input).first(size));
+                if (!self->failed)
+                    self->read();
+            });
+    }
+
+    void onBytes(std::span<const std::byte> bytes)
+    {
+        const auto now = std::chrono::steady_clock::now();
+        for (auto &[number, call] : this->calls) {
+            if (call.silence.count() > 0)
+                call.dueAt = std::max(call.dueAt, now + call.silence);
+        }
+        this->reader.append(bytes);
+        while (!this->failed) {
+            const auto frame = this->reader.next();
+            if (!frame)
+                break;
+            this->onFrame(*frame);
+        }
+        if (this->reader.isBroken())
+            this->fail();
+        if (!this->failed)
+            this->armForCalls();
+    }
+
+    void onFrame(std::span<const std::byte> bytes)
+    {
+        const auto frame = ViewFrame::parse(bytes);
+        const auto found = frame ? this->calls.find(frame->request) : this->calls.end();
+        if (found == this->calls.end())
+            return this->fail();
+        const Reply reply = std::move(found->second.reply);
+        this->calls.erase(found);
+        reply(frame->message);
+    }
+
+    void armForCalls()
+    {
+        if (this->calls.empty()) {
+            this->timer.cancel();
+            return;
+        }
+        auto first = this->calls.begin()->second.dueAt;
+        for (const auto &[number, call] : this->calls)
+            first = std::min(first, call.dueAt);
+        this->armTimer(first);
+    }
+
+    void armTimer(std::chrono::steady_clock::time_point at)
+    {
+        this->timer.expires_at(at);
+        this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
+            if (!error && !self->failed)
+                self->fail();
+        });
+    }
+
+    boost::asio::ip::tcp::socket socket;
+    boost::asio::steady_timer timer;
+    FrameReader reader{balance::longestViewMessage};
+    std::array<std::byte, 16'384> input{};
+    Bytes output;
+    std::map<std::uint32_t, Call> calls;
+    std::uint32_t lastNumber = 0;
+    bool connected = false;
+    bool writing = false;
+    bool failed = false;
+};
+
+} // namespace internal
+
+PeerViewClient::PeerViewClient(boost::asio::io_context &context, Endpoint peer, Counters &counters,
+                               PeerViewTimeouts timeouts)
+    : context(context)
+    , peer(peer)
+    , counters(counters)
+    , timeouts(timeouts)
+{}
+
+PeerViewClient::~PeerViewClient()
+{
+    if (this->current)
+        this->current->drop();
+}
+
+void PeerViewClient::dropWatches()
+{
+    if (const auto dropped = std::exchange(this->current, nullptr))
+        dropped->dropWatches();
+}
+
+internal::PeerViewConnection &PeerViewClient::connection()
+{
+    if (!this->current || this->current->failed) {
+        this->current = std::make_shared<internal::PeerViewConnection>(this->context);
+        this->current->open(this->peer, this->timeouts.connect);
+    }
+    return *this->current;
+}
+
+void PeerViewClient::list(balance::ViewKind kind, ListHandler handler)
+{
+    this->counters.add("peer_list");
+    this->connection().send(balance::encodeRequest({kind, std::nullopt, {}}),
+                            this->timeouts.silence,
+                            {[kind, handler = std::move(handler)](auto message) {
+                                 std::optional<balance::ViewList> list;
+                                 if (message)
+                                     list = balance::decodeList(kind, *message);
+                                 handler(std::move(list).value_or(balance::ViewList{}));
+                             },
+                             false,
+                             {},
+                             this->timeouts.silence});
+}
+
+void PeerViewClient::watchFor(balance::ViewKind kind, std::uint64_t since,
+                              std::chrono::milliseconds wait, WatchHandler handler)
+{
+    this->counters.add("peer_watch");
+    this->connection().send(balance::encodeRequest({kind, since, wait}),
+                            wait + this->timeouts.watchMargin,
+                            {[kind, handler = std::move(handler)](auto message) {
+                                 std::optional<balance::ViewEvents> events;
+                                 if (message)
+                                     events = balance::decodeEvents(kind, *message);
+                                 handler(std::move(events).value_or(balance::ViewEvents{}));
+                             },
+                             true,
+                             {},
+                             {}});
+}
+
+} // namespace bulrushgap
--- /dev/null
+++ b/src/role/PeerViewServer.cpp
@@ -0,0 +1,266 @@
+#include "role/PeerViewServer.h"
+
+#include "role/ViewFrame.h"
+#include "service/FrameReader.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/leaf/error.hpp>
+
+#include <array>
+#include <set>
+#include <utility>
+
+namespace bulrushgap {
+
+namespace internal {
+
+using boost::asio::ip::tcp;
+
+/** Requests are a few words. */
+constexpr std::size_t longestViewRequest = 1'024;
+
+/** \brief The last encoded answer of a kind: many instances ask for the same one. */
+template <typename Answer>
+struct EncodedAnswer
+{
+    std::shared_ptr<const Answer> answer;
+    std::shared_ptr<const Bytes> bytes;
+};
+
+/** \brief Encoded answers, shared by all connections. */
+class AnswerCache
+{
+public:
+    std::shared_ptr<const Bytes> encode(balance::ViewKind kind,
+                                        const balance::ObjectMirror::ListPtr &list)
+    {
+        auto &cached = this->lists.at(static_cast<std::size_t>(kind));
+        if (cached.answer != list)
+            cached = {list, std::make_shared<const Bytes>(balance::encodeList(kind, *list))};
+        return cached.bytes;
+    }
+
+    std::shared_ptr<const Bytes> encode(balance::ViewKind kind,
+                                        const balance::ObjectMirror::EventsPtr &events)
+    {
+        auto &cached = this->events.at(static_cast<std::size_t>(kind));
+        if (cached.answer != events)
+            cached = {events, std::make_shared<const Bytes>(balance::encodeEvents(kind, *events))};
+        return cached.bytes;
+    }
+
+private:
+    std::array<EncodedAnswer<balance::ViewList>, balance::viewKindCount> lists;
+    std::array<EncodedAnswer<balance::ViewEvents>, balance::viewKindCount> events;
+};
+
+struct PeerViewSession;
+
+struct PeerViewServerState : std::enable_shared_from_this<PeerViewServerState>
+{
+    PeerViewServerState(boost::asio::io_context &context, Endpoint endpoint,
+                        balance::ObjectMirror &mirror, Counters &counters, PeerViewLimits limits)
+        : context(context)
+        , endpoint(endpoint)
+        , mirror(mirror)
+        , counters(counters)
+        , limits(limits)
+        , acceptor(context)
+    {}
+
+    void open()
+    {
+        this->acceptor.open(tcp::v4());
+        this->acceptor.set_option(tcp::acceptor::reuse_address(true));
+        this->acceptor.bind(
+            {boost::asio::ip::address_v4(this->endpoint.address), this->endpoint.port});
+        this->acceptor.listen();
+        this->accept();
+    }
+
+    void accept();
+
+    boost::asio::io_context &context;
+    Endpoint endpoint;
+    balance::ObjectMirror &mirror;
+    Counters &counters;
+    PeerViewLimits limits;
+    tcp::acceptor acceptor;
+    AnswerCache cache;
+    std::set<std::shared_ptr<PeerViewSession>> sessions;
+    bool stopped = false;
+};
+
+/** \brief One connection of an instance that follows this one. */
+struct PeerViewSession : std::enable_shared_from_this<PeerViewSession>
+{
+    PeerViewSession(PeerViewServerState &server, tcp::socket accepted)
+        : server(server)
+        , socket(std::move(accepted))
+        , idleTimer(server.context)
+    {}
+
+    void start()
+    {
+        boost::system::error_code ignored;
+        this->socket.set_option(tcp::no_delay(true), ignored);
+        this->read();
+    }
+
+    void close()
+    {
+        this->closed = true;
+        this->idleTimer.cancel();
+        boost::system::error_code ignored;
+        this->socket.close(ignored);
+    }
+
+    void end()
+    {
+        if (this->closed)
+            return;
+        this->close();
+        this->server.sessions.erase(this->shared_from_this());
+    }
+
+    void read()
+    {
+        this->idleTimer.expires_after(this->server.limits.idle);
+        this->idleTimer.async_wait(
+            [self = this->shared_from_this()](boost::system::error_code error) {
+                if (!error)
+                    self->end();
+            });
+        this->socket.async_read_some(
+            boost::asio::buffer(this->input),
+            [self = this->shared_from_this()](boost::system::error_code error, std::size_t size) {
+                if (self->closed)
+                    return;
+                if (error)
+                    return self->end();
+                self->onBytes(std::span<const std::byte>(self->input).first(size));
+                if (!self->closed)
+                    self->read();
+            });
+    }
+
+    void onBytes(std::span<const std::byte> bytes)
+    {
+        this->reader.append(bytes);
+        while (!this->closed) {
+            const auto frame = this->reader.next();
+            if (!frame)
+                break;
+            this->onFrame(*frame);
+        }
+        if (!this->closed && this->reader.isBroken())
+            this->refuse();
+    }
+
+    void onFrame(std::span<const std::byte> bytes)
+    {
+        const auto frame = ViewFrame::parse(bytes);
+        const auto request = frame ? balance::decodeRequest(frame->message) : std::nullopt;
+        if (!request)
+            return this->refuse();
+        const auto respond = [weak = this->weak_from_this(), number = frame->request,
+                              kind = request->kind](const auto &answer) {
+            if (const auto self = weak.lock(); self && !self->closed)
+                self->send(number, self->server.cache.encode(kind, answer));
+        };
+        if (request->since)
+            this->server.mirror.watch(request->kind, *request->since, request->wait, respond);
+        else
+            this->server.mirror.list(request->kind, respond);
+    }
+
+    void refuse()
+    {
+        this->server.counters.add("peer_view_malformed");
+        this->end();
+    }
+
+    void send(std::uint32_t number, const std::shared_ptr<const Bytes> &message)
+    {
+        if (this->output.size() + message->size() > this->server.limits.queuedBytes) {
+            this->server.counters.add("peer_view_slow_reader");
+            return this->end();
+        }
+        const Bytes frame = ViewFrame{number, *message}.toBytes();
+        this->output.insert(this->output.end(), frame.begin(), frame.end());
+        this->write();
+    }
+
+    void write()
+    {
+        if (this->writing || this->output.empty())
+            return;
+        this->writing = true;
+        const auto bytes = std::make_shared<Bytes>(std::exchange(this->output, {}));
+        boost::asio::async_write(
+            this->socket, boost::asio::buffer(*bytes),
+            [self = this->shared_from_this(), bytes](boost::system::error_code error, std::size_t) {
+                self->writing = false;
+                if (error)
+                    self->end();
+                else if (!self->closed)
+                    self->write();
+            });
+    }
+
+    PeerViewServerState &server;
+    tcp::socket socket;
+    boost::asio::steady_timer idleTimer;
+    FrameReader reader{longestViewRequest};
+    std::array<std::byte, 1'024> input{};
+    Bytes output;
+    bool writing = false;
+    bool closed = false;
+};
+
+void PeerViewServerState::accept()
+{
+    this->acceptor.async_accept(
+        [self = this->shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+            if (self->stopped || error == boost::asio::error::operation_aborted)
+                return;
+            if (!error && self->sessions.size() < self->limits.connections) {
+                const auto session = std::make_shared<PeerViewSession>(*self, std::move(socket));
+                self->sessions.insert(session);
+                session->start();
+            }
+            self->accept();
+        });
+}
+
+} // namespace internal
+
+PeerViewServer::PeerViewServer(boost::asio::io_context &context, Endpoint endpoint,
+                               balance::ObjectMirror &mirror, Counters &counters,
+                               PeerViewLimits limits)
+    : state(std::make_shared<internal::PeerViewServerState>(context, endpoint, mirror, counters,
+                                                            limits))
+{}
+
+PeerViewServer::~PeerViewServer()
+{
+    this->state->stopped = true;
+    boost::system::error_code ignored;
+    this->state->acceptor.close(ignored);
+    for (const auto &session : std::exchange(this->state->sessions, {}))
+        session->close();
+}
+
+boost::leaf::result<Endpoint> PeerViewServer::start()
+{
+    try {
+        this->state->open();
+    } catch (const boost::system::system_error &error) {
+        return boost::leaf::new_error(error.code());
+    }
+    return Endpoint{this->state->endpoint.address, this->state->acceptor.local_endpoint().port()};
+}
+
+} // namespace bulrushgap
--- a/src/peer/FrameReader.cpp
+++ b/src/service/FrameReader.cpp
@@ -1,8 +1,4 @@
-#include "peer/FrameReader.h"
-
-#include "peer/MessageCodec.h"
-
-#include <cassert>
+#include "service/FrameReader.h"
 
 namespace bulrushgap {
 
@@ -22,7 +18,7 @@
     std::size_t size = 0;
     for (std::size_t i = 0; i < prefixSize; ++i)
         size |= std::to_integer<std::size_t>(rest[i]) << (8 * i);
-    if (size > maximalFrameSize) {
+    if (size > this->limit) {
         this->broken = true;
         return std::nullopt;
     }
@@ -35,7 +31,6 @@
 
 Bytes FrameReader::frame(std::span<const std::byte> message)
 {
-    assert(message.size() <= maximalFrameSize);
     Bytes frame;
     frame.reserve(prefixSize + message.size());
     for (std::size_t i = 0; i < prefixSize; ++i)
--- a/src/peer/FrameReader.h
+++ b/src/service/FrameReader.h
@@ -2,6 +2,7 @@
 
 #include "wire/Bytes.h"
 
+#include <cstddef>
 #include <optional>
 #include <span>
 
@@ -14,6 +15,11 @@
     /** \brief Size of the length in front of each message. */
     static constexpr std::size_t prefixSize = 4;
 
+    /** \param limit longest message in bytes. */
+    explicit FrameReader(std::size_t limit)
+        : limit(limit)
+    {}
+
     /** \brief Adds received bytes. */
     void append(std::span<const std::byte> bytes);
 
@@ -27,6 +33,7 @@
     [[nodiscard]] static Bytes frame(std::span<const std::byte> message);
 
 private:
+    std::size_t limit;
     Bytes buffer;
     std::size_t consumed = 0;
     bool broken = false;
--- a/src/store.h
+++ b/src/store.h
@@ -5,4 +5,5 @@
  */
 #include "store/CallResult.h"
 #include "store/ObjectStore.h"
+#include "store/ObjectWatch.h"
 #include "store/PlatformClient.h"
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -26,62 +26,76 @@
 
 [[nodiscard]] std::string_view toString(PlatformResult result);
 
-struct StoredObject
+template <typename Value>
+struct BasicStoredObject
 {
     std::string key;
     std::uint64_t version = 0;
-    boost::json::value value;
+    Value value{};
 };
 
-struct ListOutcome
+template <typename Value>
+struct BasicListOutcome
 {
     PlatformResult result = PlatformResult::Unavailable;
     std::uint64_t revision = 0;
-    std::vector<StoredObject> objects;
+    std::vector<BasicStoredObject<Value>> objects;
 };
 
-struct GetOutcome
-{
-    PlatformResult result = PlatformResult::Unavailable;
-    StoredObject object;
-};
-
-struct WriteOutcome
-{
-    PlatformResult result = PlatformResult::Unavailable;
-    std::uint64_t version = 0; //!< New version, or the current one after a conflict; 0 for none.
-};
-
-struct WatchEvent
+template <typename Value>
+struct BasicWatchEvent
 {
     std::string key;
     std::uint64_t version = 0;
-    std::optional<boost::json::value> value; //!< Nothing if the object was deleted.
+    std::optional<Value> value; //!< Nothing if the object was deleted.
 };
 
-struct WatchOutcome
+template <typename Value>
+struct BasicWatchOutcome
 {
     PlatformResult result = PlatformResult::Unavailable;
     std::uint64_t revision = 0;
-    std::vector<WatchEvent> events;
+    std::vector<BasicWatchEvent<Value>> events;
 };
 
-/** \brief Objects that can be listed and followed; handlers are called later. \sa ObjectWatch */
-class WatchableStore
+/** \brief Objects that can be listed and followed; handlers are called later. \sa ObjectWatch
+ *
+ * \tparam Key what names a set of objects: a prefix of their keys, or their kind.
+ */
+template <typename Key, typename Value>
+class BasicWatchableStore
 {
 public:
-    using ListHandler = std::function<void(ListOutcome outcome)>;
-    using WatchHandler = std::function<void(WatchOutcome outcome)>;
+    using ListHandler = std::function<void(BasicListOutcome<Value> outcome)>;
+    using WatchHandler = std::function<void(BasicWatchOutcome<Value> outcome)>;
 
-    WatchableStore() = default;
-    virtual ~WatchableStore() = default;
-    WatchableStore(const WatchableStore &) = delete;
-    WatchableStore &operator=(const WatchableStore &) = delete;
+    BasicWatchableStore() = default;
+    virtual ~BasicWatchableStore() = default;
+    BasicWatchableStore(const BasicWatchableStore &) = delete;
+    BasicWatchableStore &operator=(const BasicWatchableStore &) = delete;
 
-    virtual void list(std::string_view prefix, ListHandler handler) = 0;
+    virtual void list(Key key, ListHandler handler) = 0;
 
     /** \brief Waits for events after \a since; one call of the long poll. */
-    virtual void watch(std::string_view prefix, std::uint64_t since, WatchHandler handler) = 0;
+    virtual void watch(Key key, std::uint64_t since, WatchHandler handler) = 0;
+};
+
+using StoredObject = BasicStoredObject<boost::json::value>;
+using ListOutcome = BasicListOutcome<boost::json::value>;
+using WatchEvent = BasicWatchEvent<boost::json::value>;
+using WatchOutcome = BasicWatchOutcome<boost::json::value>;
+using WatchableStore = BasicWatchableStore<std::string_view, boost::json::value>;
+
+struct GetOutcome
+{
+    PlatformResult result = PlatformResult::Unavailable;
+    StoredObject object;
+};
+
+struct WriteOutcome
+{
+    PlatformResult result = PlatformResult::Unavailable;
+    std::uint64_t version = 0; //!< New version, or the current one after a conflict; 0 for none.
 };
 
 /** \brief Versioned objects with conditional updates; handlers are called later. */
--- /dev/null
+++ b/src/store/ObjectWatch.h
@@ -0,0 +1,188 @@
+#pragma once
+
+#include "base/Scheduler.h"
+#include "service/Backoff.h"
+#include "store/ObjectStore.h"
+
+#include <algorithm>
+#include <memory>
+#include <optional>
+#include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
+
+namespace bulrushgap {
+
+/** \brief News of a watch. */
+template <typename Value>
+struct BasicWatchUpdate
+{
+    bool complete = false;      //!< The events are all objects; others do not exist any more.
+    std::uint64_t revision = 0; //!< Store revision up to which the events are known.
+
+    /** Empty in an update that only confirms the revision. */
+    std::vector<BasicWatchEvent<Value>> events;
+};
+
+using WatchUpdate = BasicWatchUpdate<boost::json::value>;
+
+/** \brief Delays between attempts while the store does not answer. */
+struct WatchRetry
+{
+    Duration first = std::chrono::milliseconds(100);
+    Duration longest = std::chrono::seconds(5);
+
+    /** Pause after an event, so that the next call brings those that follow it together. */
+    Duration settle = Duration::zero();
+};
+
+/** \brief Follows all objects that a key names.
+ *
+ * Lists them first, unless it starts at a known revision, then polls for events; lists them again
+ * when the platform's history does not reach back. Failures are retried with backoff and jitter.
+ */
+template <typename Key, typename Value>
+class BasicObjectWatch
+{
+public:
+    using Store = BasicWatchableStore<Key, Value>;
+    using Update = BasicWatchUpdate<Value>;
+    using UpdateHandler = std::function<void(const Update &update)>;
+    using ReachableHandler = std::function<void(bool reachable)>;
+
+    /** \param onReachable called when calls start to fail or to succeed again; may be empty. */
+    BasicObjectWatch(const Scheduler &scheduler, Store &store, Random &random, Key key,
+                     UpdateHandler onUpdate, ReachableHandler onReachable = {},
+                     WatchRetry retry = {})
+        : scheduler(scheduler)
+        , store(store)
+        , key(key)
+        , onUpdate(std::move(onUpdate))
+        , onReachable(std::move(onReachable))
+        , backoff(retry.first, retry.longest, random)
+        , settle(retry.settle)
+    {}
+    ~BasicObjectWatch() { *this->alive = false; }
+    BasicObjectWatch(const BasicObjectWatch &) = delete;
+    BasicObjectWatch &operator=(const BasicObjectWatch &) = delete;
+
+    /** \brief Starts with a list, or with the events after \a since. */
+    void start(std::optional<std::uint64_t> since = std::nullopt)
+    {
+        this->revision = since;
+        this->poll();
+    }
+
+private:
+    using OwnedKey = std::conditional_t<std::is_same_v<Key, std::string_view>, std::string, Key>;
+
+    void poll();
+    void pollAfter(Duration delay);
+    void onListed(BasicListOutcome<Value> outcome);
+    void onPolled(BasicWatchOutcome<Value> outcome);
+    void succeeded();
+    void retryLater();
+
+    const Scheduler &scheduler;
+    Store &store;
+    OwnedKey key;
+    UpdateHandler onUpdate;
+    ReachableHandler onReachable;
+    Scheduler::Timer timer;
+    Backoff backoff;
+    Duration settle;
+    std::optional<std::uint64_t> revision;
+    std::uint64_t newest = 0; //!< Greatest revision seen; an older list is not taken over.
+    std::optional<bool> reachable;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true); //!< Guards pending handlers.
+};
+
+using ObjectWatch = BasicObjectWatch<std::string_view, boost::json::value>;
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::poll()
+{
+    if (!this->revision) {
+        this->store.list(this->key, [this, alive = this->alive](BasicListOutcome<Value> outcome) {
+            if (*alive)
+                this->onListed(std::move(outcome));
+        });
+        return;
+    }
+    this->store.watch(this->key, *this->revision,
+                      [this, alive = this->alive](BasicWatchOutcome<Value> outcome) {
+                          if (*alive)
+                              this->onPolled(std::move(outcome));
+                      });
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::onListed(BasicListOutcome<Value> outcome)
+{
+    if (outcome.result != PlatformResult::Ok) {
+        this->retryLater();
+        return;
+    }
+    if (outcome.revision < this->newest) {
+        // An instance that lags behind has answered: what is known already must not be undone.
+        this->retryLater();
+        return;
+    }
+    this->succeeded();
+    this->newest = outcome.revision;
+    Update update{true, outcome.revision, {}};
+    update.events.reserve(outcome.objects.size());
+    for (auto &object : outcome.objects)
+        update.events.push_back({std::move(object.key), object.version, std::move(object.value)});
+    this->revision = outcome.revision;
+    this->poll();
+    this->onUpdate(update);
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::onPolled(BasicWatchOutcome<Value> outcome)
+{
+    if (outcome.result == PlatformResult::Gone) {
+        this->succeeded();
+        this->revision.reset();
+        this->poll();
+        return;
+    }
+    if (outcome.result != PlatformResult::Ok) {
+        this->retryLater();
+        return;
+    }
+    this->succeeded();
+    this->revision = outcome.revision;
+    this->newest = std::max(this->newest, outcome.revision);
+    this->pollAfter(outcome.events.empty() ? Duration::zero() : this->settle);
+    this->onUpdate(Update{false, outcome.revision, std::move(outcome.events)});
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::succeeded()
+{
+    this->backoff.reset();
+    if (std::exchange(this->reachable, true) != true && this->onReachable)
+        this->onReachable(true);
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::pollAfter(Duration delay)
+{
+    if (delay == Duration::zero())
+        this->poll();
+    else
+        this->timer = this->scheduler.after(delay, [this] { this->poll(); });
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::retryLater()
+{
+    this->pollAfter(this->backoff.next());
+    if (std::exchange(this->reachable, false) != false && this->onReachable)
+        this->onReachable(false);
+}
+
+} // namespace bulrushgap
--- a/src/view.h
+++ b/src/view.h
@@ -3,12 +3,12 @@
 /** \file
  * \brief Module view: how an instance learns the deployment's state, from the store or from others.
  */
+#include "store/ObjectWatch.h"
 #include "view/Member.h"
 #include "view/MemberRegistration.h"
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
 #include "view/ObjectSource.h"
-#include "view/ObjectWatch.h"
 #include "view/SourcedStore.h"
 #include "view/ViewFollower.h"
 #include "view/ViewSources.h"
--- a/src/view/MemberRegistration.cpp
+++ b/src/view/MemberRegistration.cpp
@@ -1,7 +1,5 @@
 #include "view/MemberRegistration.h"
 
-#include "platform/ObjectCodec.h"
-
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -16,7 +14,7 @@
 
 } // namespace internal
 
-MemberRegistration::MemberRegistration(const Scheduler &scheduler, ObjectWriter &store,
+MemberRegistration::MemberRegistration(const Scheduler &scheduler, MemberStore &store,
                                        Random &random, Member member, Log &log)
     : scheduler(scheduler)
     , store(store)
@@ -36,20 +34,18 @@
 
 void MemberRegistration::create()
 {
-    this->store.create(platform::instanceKind, this->member.name,
-                       platform::encodeMember(this->member), [this](PlatformResult result) {
-                           if (result == PlatformResult::Conflict)
-                               this->replace();
-                           else
-                               this->onWritten(result);
-                       });
+    this->store.createMember(this->member, [this](PlatformResult result) {
+        if (result == PlatformResult::Conflict)
+            this->replace();
+        else
+            this->onWritten(result);
+    });
 }
 
 void MemberRegistration::replace()
 {
-    this->store.replace(platform::instanceKind, this->member.name,
-                        platform::encodeMember(this->member),
-                        [this](PlatformResult result) { this->onWritten(result); });
+    this->store.replaceMember(this->member,
+                              [this](PlatformResult result) { this->onWritten(result); });
 }
 
 void MemberRegistration::onWritten(PlatformResult result)
--- a/src/view/MemberRegistration.h
+++ b/src/view/MemberRegistration.h
@@ -16,7 +16,7 @@
 class MemberRegistration
 {
 public:
-    MemberRegistration(const Scheduler &scheduler, ObjectWriter &store, Random &random,
+    MemberRegistration(const Scheduler &scheduler, MemberStore &store, Random &random,
                        Member member, Log &log);
 
     /** \brief Writes the entry, unless that is under way or was done a moment ago. */
@@ -28,7 +28,7 @@
     void onWritten(PlatformResult result);
 
     const Scheduler &scheduler;
-    ObjectWriter &store;
+    MemberStore &store;
     Member member;
     Log &log;
     Scheduler::Timer timer;
--- a/src/view/MemberSweeper.cpp
+++ b/src/view/MemberSweeper.cpp
@@ -1,7 +1,5 @@
 #include "view/MemberSweeper.h"
 
-#include "platform/ObjectCodec.h"
-
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -17,7 +15,7 @@
 
 } // namespace internal
 
-MemberSweeper::MemberSweeper(const Scheduler &scheduler, ObjectWriter &store, std::string self,
+MemberSweeper::MemberSweeper(const Scheduler &scheduler, MemberStore &store, std::string self,
                              Counters &counters, Log &log, MemberSweeperHooks hooks)
     : scheduler(scheduler)
     , store(store)
@@ -110,10 +108,9 @@
     this->counters.add("member_lost");
     const std::string name = entry.member.name;
     this->silent.erase(name);
-    this->store.remove(
-        platform::instanceKind, name, entry.revision, [this, name](PlatformResult result) {
-            this->log.info("member_removed", {{"instance", name}, {"result", toString(result)}});
-        });
+    this->store.removeMember(name, entry.revision, [this, name](PlatformResult result) {
+        this->log.info("member_removed", {{"instance", name}, {"result", toString(result)}});
+    });
 }
 
 } // namespace bulrushgap::balance
--- a/src/view/MemberSweeper.h
+++ b/src/view/MemberSweeper.h
@@ -44,7 +44,7 @@
 class MemberSweeper
 {
 public:
-    MemberSweeper(const Scheduler &scheduler, ObjectWriter &store, std::string self,
+    MemberSweeper(const Scheduler &scheduler, MemberStore &store, std::string self,
                   Counters &counters, Log &log, MemberSweeperHooks hooks);
 
     void start();
@@ -65,7 +65,7 @@
     void remove(const MemberEntry &entry, const Silence &silence);
 
     const Scheduler &scheduler;
-    ObjectWriter &store;
+    MemberStore &store;
     std::string self;
     Counters &counters;
     Log &log;
--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -1,7 +1,5 @@
 #include "view/ObjectMirror.h"
 
-#include "platform/ObjectCodec.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -10,52 +8,51 @@
 namespace internal {
 
 /** Changes kept for instances that were out of touch; older ones are listed anew. */
-constexpr std::size_t mirrorHistory = 64;
+constexpr std::size_t mirrorHistory = 256;
 
 constexpr Duration longestMirrorWait = std::chrono::seconds(30);
 
+ObjectMirror::EventsPtr emptyEvents(PlatformResult result, std::uint64_t revision = 0)
+{
+    return std::make_shared<const ViewEvents>(ViewEvents{result, revision, {}});
+}
+
 } // namespace internal
 
-ObjectMirror::ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect)
+ObjectMirror::ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect, Snapshot snapshot)
     : scheduler(scheduler)
     , isDirect(std::move(isDirect))
+    , snapshot(std::move(snapshot))
 {}
 
-const ObjectMirror::Kind *ObjectMirror::servable(std::string_view kind) const
+void ObjectMirror::list(ViewKind kindName, const ListResponder &respond)
 {
-    const auto found = this->kinds.find(kind);
-    if (!this->isDirect() || found == this->kinds.end() || !found->second.known)
-        return nullptr;
-    return &found->second;
-}
-
-void ObjectMirror::list(std::string_view kindName, const Responder &respond) const
-{
-    const Kind *kind = this->servable(kindName);
-    if (kind == nullptr) {
-        respond({});
+    Kind &kind = this->at(kindName);
+    if (!this->isDirect() || !kind.known) {
+        respond(std::make_shared<const ViewList>(ViewList{PlatformResult::Busy, 0, {}}));
         return;
     }
-    std::string items;
-    for (const auto &[name, object] : kind->objects)
-        items += (items.empty() ? "" : ",") + object.item;
-    respond({PlatformResult::Ok, platform::encodeList(items, kind->revision)});
+    if (!kind.sharedList) {
+        kind.sharedList = std::make_shared<const ViewList>(
+            ViewList{PlatformResult::Ok, kind.revision, this->snapshot(kindName)});
+    }
+    respond(kind.sharedList);
 }
 
-void ObjectMirror::watch(std::string_view kindName, std::uint64_t since, Duration wait,
-                         const Responder &respond)
+void ObjectMirror::watch(ViewKind kindName, std::uint64_t since, Duration wait,
+                         const EventsResponder &respond)
 {
-    if (this->servable(kindName) == nullptr) {
-        respond({});
+    Kind &kind = this->at(kindName);
+    if (!this->isDirect() || !kind.known) {
+        respond(internal::emptyEvents(PlatformResult::Busy));
         return;
     }
-    Kind &kind = this->kinds.find(kindName)->second;
     if (since < kind.oldest) {
-        respond({PlatformResult::Gone, {}});
+        respond(internal::emptyEvents(PlatformResult::Gone));
         return;
     }
     if (!kind.history.empty() && kind.history.back().revision > since) {
-        respond({PlatformResult::Ok, changesSince(kind, since)});
+        respond(changesSince(kind, since));
         return;
     }
     const auto waiting = std::make_shared<Waiting>();
@@ -73,48 +70,44 @@
 {
     kind.waiting.remove(waiting);
     const std::uint64_t revision = std::max(kind.revision, waiting->since);
-    waiting->respond({PlatformResult::Ok, platform::encodeEvents({}, revision)});
+    waiting->respond(internal::emptyEvents(PlatformResult::Ok, revision));
 }
 
-std::string ObjectMirror::changesSince(const Kind &kind, std::uint64_t since)
+ObjectMirror::EventsPtr ObjectMirror::changesSince(Kind &kind, std::uint64_t since)
 {
-    std::string events;
+    if (kind.sharedEvents && kind.sharedSince == since)
+        return kind.sharedEvents;
+    ViewEvents events{PlatformResult::Ok, std::max(kind.revision, since), {}};
     for (const Change &change : kind.history) {
         if (change.revision > since)
-            events += (events.empty() ? "" : ",") + change.event;
+            events.events.push_back(change.event);
     }
-    return platform::encodeEvents(events, std::max(kind.revision, since));
+    kind.sharedEvents = std::make_shared<const ViewEvents>(std::move(events));
+    kind.sharedSince = since;
+    return kind.sharedEvents;
 }
 
-void ObjectMirror::apply(std::string_view kindName, const WatchUpdate &update)
+void ObjectMirror::apply(ViewKind kindName, const ViewUpdate &update)
 {
-    Kind &kind = this->kinds[std::string(kindName)];
+    Kind &kind = this->at(kindName);
+    kind.sharedEvents.reset();
+    kind.sharedList.reset();
+    kind.known = true;
+    kind.revision = update.revision;
     if (update.complete) {
         // Those who wait with an older revision list anew.
-        kind.objects.clear();
         kind.history.clear();
         kind.oldest = update.revision;
+    } else {
+        for (const ViewEvent &event : update.events)
+            keep(kind, event, update.revision);
     }
-    kind.known = true;
-    kind.revision = update.revision;
-    for (const WatchEvent &event : update.events)
-        this->keep(kind, event, update.revision);
-    if (update.complete)
-        kind.history.clear();
     this->answerWaiting(kind);
 }
 
-void ObjectMirror::keep(Kind &kind, const WatchEvent &event, std::uint64_t revision)
+void ObjectMirror::keep(Kind &kind, const ViewEvent &event, std::uint64_t revision)
 {
-    if (event.value) {
-        std::string item = platform::encodeObject(event.key, event.version, *event.value);
-        kind.history.push_back({revision, platform::encodeEvent(item, false)});
-        kind.objects[event.key] = Object{event.version, std::move(item)};
-    } else {
-        const std::string item = platform::encodeObject(event.key, event.version, nullptr);
-        kind.history.push_back({revision, platform::encodeEvent(item, true)});
-        kind.objects.erase(event.key);
-    }
+    kind.history.push_back({revision, event});
     while (kind.history.size() > internal::mirrorHistory) {
         kind.oldest = std::max(kind.oldest, kind.history.front().revision);
         kind.history.pop_front();
@@ -132,19 +125,17 @@
             continue;
         }
         watch->timer.reset();
-        if (gone)
-            watch->respond({PlatformResult::Gone, {}});
-        else
-            watch->respond({PlatformResult::Ok, changesSince(kind, watch->since)});
+        watch->respond(gone ? internal::emptyEvents(PlatformResult::Gone)
+                            : changesSince(kind, watch->since));
     }
 }
 
 void ObjectMirror::refuseWaiting()
 {
-    for (auto &[name, kind] : this->kinds) {
+    for (Kind &kind : this->kinds) {
         for (const WaitingPtr &watch : std::exchange(kind.waiting, {})) {
             watch->timer.reset();
-            watch->respond({});
+            watch->respond(internal::emptyEvents(PlatformResult::Busy));
         }
     }
 }
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -1,51 +1,49 @@
 #pragma once
 
 #include "base/Scheduler.h"
-#include "view/ObjectWatch.h"
+#include "view/ViewObject.h"
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <list>
-#include <map>
 #include <memory>
-#include <string>
-#include <string_view>
+#include <vector>
 
 namespace bulrushgap::balance {
 
-/** \brief What another instance gets on a read: Ok, Gone or Busy, and for Ok an encoded body. */
-struct MirrorReply
-{
-    PlatformResult result = PlatformResult::Busy;
-    std::string body;
-};
-
 /** \brief Answers other instances' lists and watches as the store does, from what this one knows.
  *
  * It answers only while this instance follows the store itself; else with Busy, and the hook learns
- * that another instance asks.
+ * that another instance asks. Answers that many ask for are made once and shared.
  */
 class ObjectMirror
 {
 public:
-    using Responder = std::function<void(MirrorReply reply)>;
+    using ListPtr = std::shared_ptr<const ViewList>;
+    using EventsPtr = std::shared_ptr<const ViewEvents>;
+    using ListResponder = std::function<void(ListPtr list)>;
+    using EventsResponder = std::function<void(EventsPtr events)>;
 
     /** \returns whether this instance follows the store itself and it answers. */
     using DirectCheck = std::function<bool()>;
 
-    ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect);
+    /** \returns all objects of a kind as this instance knows them. */
+    using Snapshot = std::function<std::vector<ViewItem>(ViewKind kind)>;
+
+    ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect, Snapshot snapshot);
     ~ObjectMirror() { this->refuseWaiting(); }
     ObjectMirror(const ObjectMirror &) = delete;
     ObjectMirror &operator=(const ObjectMirror &) = delete;
 
-    void list(std::string_view kind, const Responder &respond) const;
+    void list(ViewKind kind, const ListResponder &respond);
 
     /** \brief Answers once there is a change after \a since, or after \a wait. */
-    void watch(std::string_view kind, std::uint64_t since, Duration wait, const Responder &respond);
+    void watch(ViewKind kind, std::uint64_t since, Duration wait, const EventsResponder &respond);
 
-    /** \brief Takes over what a watch of \a kind has brought, and tells those who wait for it. */
-    void apply(std::string_view kind, const WatchUpdate &update);
+    /** \brief Tells those who wait what a watch of \a kind has brought; the snapshot shows it. */
+    void apply(ViewKind kind, const ViewUpdate &update);
 
     /** \brief Answers all waiting watches with Busy: the store can't be followed any more. */
     void refuseWaiting();
@@ -54,19 +52,13 @@
     struct Change
     {
         std::uint64_t revision = 0; //!< Store revision that the change brought the kind to.
-        std::string event;          //!< As in the answer to a watch.
-    };
-
-    struct Object
-    {
-        std::uint64_t revision = 0;
-        std::string item; //!< As in the answer to a list.
+        ViewEvent event;
     };
 
     struct Waiting
     {
         std::uint64_t since = 0;
-        Responder respond;
+        EventsResponder respond;
         Scheduler::Timer timer;
     };
     using WaitingPtr = std::shared_ptr<Waiting>;
@@ -76,21 +68,23 @@
         bool known = false;
         std::uint64_t revision = 0;
         std::uint64_t oldest = 0; //!< Changes after this revision are in the history.
-        std::map<std::string, Object, std::less<>> objects;
         std::deque<Change> history;
         std::list<WaitingPtr> waiting;
+        ListPtr sharedList;     //!< Of the present revision, or nothing.
+        EventsPtr sharedEvents; //!< Since sharedSince up to the present revision, or nothing.
+        std::uint64_t sharedSince = 0;
     };
 
-    /** \returns the kind if it can be served now, or nullptr. */
-    [[nodiscard]] const Kind *servable(std::string_view kind) const;
-    void keep(Kind &kind, const WatchEvent &event, std::uint64_t revision);
+    [[nodiscard]] Kind &at(ViewKind kind) { return this->kinds.at(static_cast<std::size_t>(kind)); }
+    static void keep(Kind &kind, const ViewEvent &event, std::uint64_t revision);
     void answerWaiting(Kind &kind);
     void endWait(Kind &kind, const WaitingPtr &waiting);
-    [[nodiscard]] static std::string changesSince(const Kind &kind, std::uint64_t since);
+    [[nodiscard]] static EventsPtr changesSince(Kind &kind, std::uint64_t since);
 
     const Scheduler &scheduler;
     DirectCheck isDirect;
-    std::map<std::string, Kind, std::less<>> kinds;
+    Snapshot snapshot;
+    std::array<Kind, viewKindCount> kinds;
 };
 
 } // namespace bulrushgap::balance
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -1,7 +1,6 @@
 #include "view/SourcedStore.h"
 
-#include "platform/ObjectCodec.h"
-
+#include <string>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -60,23 +59,23 @@
     return *peer;
 }
 
-void SourcedStore::list(std::string_view kind, ListHandler handler)
+void SourcedStore::list(ViewKind kind, ListHandler handler)
 {
     this->sources.reconsider(this->scheduler.now());
     const auto source = this->sources.current();
     this->clientFor(source).list(kind,
-                                 [this, source, handler = std::move(handler)](ListOutcome outcome) {
+                                 [this, source, handler = std::move(handler)](ViewList outcome) {
                                      this->onResult(source, outcome.result);
                                      handler(std::move(outcome));
                                  });
 }
 
-void SourcedStore::watch(std::string_view kind, std::uint64_t since, WatchHandler handler)
+void SourcedStore::watch(ViewKind kind, std::uint64_t since, WatchHandler handler)
 {
     this->sources.reconsider(this->scheduler.now());
     const auto source = this->sources.current();
-    const auto watch = std::make_shared<PendingWatch>(
-        PendingWatch{std::string(kind), std::move(handler), source});
+    const auto watch
+        = std::make_shared<PendingWatch>(PendingWatch{kind, std::move(handler), source});
     this->pending.push_back(watch);
     if (this->trialPending && this->trialSource == source) {
         this->held.push_back({watch, since});
@@ -90,7 +89,7 @@
 
 void SourcedStore::send(const PendingWatchPtr &watch, std::uint64_t since, bool trial)
 {
-    const auto onAnswer = [this, watch, trial](WatchOutcome outcome) {
+    const auto onAnswer = [this, watch, trial](ViewEvents outcome) {
         if (std::exchange(watch->done, true))
             return;
         this->pending.remove(watch);
@@ -118,18 +117,17 @@
         }
         watch.watch->done = true;
         this->pending.remove(watch.watch);
-        watch.watch->handler(WatchOutcome{});
+        watch.watch->handler(ViewEvents{});
     }
 }
 
-std::chrono::milliseconds SourcedStore::waitFor(std::string_view kind,
-                                                std::optional<Endpoint> source) const
+std::chrono::milliseconds SourcedStore::waitFor(ViewKind kind, std::optional<Endpoint> source) const
 {
     if (!this->confirmed.contains(kind))
         return internal::firstWait;
-    if (kind == platform::instanceKind)
+    if (kind == ViewKind::Members)
         return internal::memberWait;
-    if (source && kind == platform::configurationKind)
+    if (source && kind == ViewKind::Configurations)
         return internal::peerPulseWait;
     return internal::usualWait;
 }
@@ -185,7 +183,7 @@
     for (const PendingWatchPtr &watch : failed) {
         this->pending.remove(watch);
         if (!std::exchange(watch->done, true))
-            watch->handler(WatchOutcome{});
+            watch->handler(ViewEvents{});
     }
 }
 
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -3,7 +3,6 @@
 #include "base/Counters.h"
 #include "base/Scheduler.h"
 #include "service/Log.h"
-#include "store/ObjectStore.h"
 #include "view/ObjectSource.h"
 #include "view/ViewSources.h"
 
@@ -12,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <set>
-#include <string>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -31,14 +29,14 @@
  * Answers sources that die or fall silent: when one call fails, all that wait at the same source
  * fail with it, so a silent source is left as soon as the shortest watch notices.
  */
-class SourcedStore : public WatchableStore
+class SourcedStore : public ViewStore
 {
 public:
     SourcedStore(const Scheduler &scheduler, ObjectSource &store, ViewSources &sources,
                  Counters &counters, Log &log, SourcedStoreHooks hooks);
 
-    void list(std::string_view kind, ListHandler handler) override;
-    void watch(std::string_view kind, std::uint64_t since, WatchHandler handler) override;
+    void list(ViewKind kind, ListHandler handler) override;
+    void watch(ViewKind kind, std::uint64_t since, WatchHandler handler) override;
 
     /** \returns whether the store itself has answered lately, so that others may follow. */
     [[nodiscard]] bool isDirect() const { return this->direct && this->sources.followsStore(); }
@@ -49,7 +47,7 @@
 private:
     struct PendingWatch
     {
-        std::string kind;
+        ViewKind kind;
         WatchHandler handler;
         std::optional<Endpoint> source;
         bool done = false;
@@ -68,7 +66,7 @@
     void onResult(std::optional<Endpoint> source, PlatformResult result);
     void send(const PendingWatchPtr &watch, std::uint64_t since, bool trial);
     void endTrial(std::optional<Endpoint> source, bool answered);
-    [[nodiscard]] std::chrono::milliseconds waitFor(std::string_view kind,
+    [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind,
                                                     std::optional<Endpoint> source) const;
     void failPending(std::optional<Endpoint> source);
 
@@ -81,7 +79,7 @@
     std::map<Endpoint, std::unique_ptr<ObjectSource>> peers;
     std::list<PendingWatchPtr> pending;
     std::list<HeldWatch> held;
-    std::set<std::string, std::less<>> confirmed; //!< Kinds that the present source has answered.
+    std::set<ViewKind> confirmed;        //!< Kinds that the present source has answered.
     std::optional<TimePoint> busySince;  //!< The present source answers, but has no view yet.
     std::optional<Endpoint> trialSource; //!< Of the call that shows whether the source answers.
     bool trialPending = false;
--- /dev/null
+++ b/src/view/ViewCodec.cpp
@@ -0,0 +1,419 @@
+#include "view/ViewCodec.h"
+
+#include "view/view_generated.h"
+
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+constexpr std::size_t initialBytes = 1'024;
+
+std::uint32_t wireMilliseconds(Duration duration)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return static_cast<std::uint32_t>(
+        std::clamp<std::int64_t>(count, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+/** \brief Texts of a message, each once. */
+class TextTable
+{
+public:
+    std::uint16_t indexOf(const std::string &text)
+    {
+        const auto found = std::ranges::find(this->texts, text);
+        const auto index = static_cast<std::uint16_t>(found - this->texts.begin());
+        if (found == this->texts.end())
+            this->texts.push_back(text);
+        return index;
+    }
+    [[nodiscard]] const std::vector<std::string> &all() const { return this->texts; }
+
+private:
+    std::vector<std::string> texts; //!< Services and domains: a few.
+};
+
+/** \brief Collects the objects of a message of one kind. */
+class ObjectsWriter
+{
+public:
+    explicit ObjectsWriter(FlatBufferBuilder &builder)
+        : builder(builder)
+    {}
+
+    /** \param value nothing for a removed object. */
+    void add(ViewKind kind, const std::string &name, std::uint64_t revision,
+             const ViewObject *value)
+    {
+        this->names.push_back(this->builder.CreateString(name));
+        this->revisions.push_back(revision);
+        this->removed.push_back(value == nullptr ? 1 : 0);
+        switch (kind) {
+        case ViewKind::Upstreams:
+            this->add(value == nullptr ? UpstreamEntry{} : std::get<UpstreamEntry>(*value));
+            break;
+        case ViewKind::Members:
+            this->add(value == nullptr ? Member{} : std::get<Member>(*value));
+            break;
+        case ViewKind::Configurations:
+            this->add(value == nullptr ? Configuration{} : *std::get<ConfigurationPtr>(*value));
+            break;
+        case ViewKind::Evacuations:
+            break;
+        }
+    }
+
+    Offset<viewwire::Objects> finish()
+    {
+        const auto names = this->builder.CreateVector(this->names);
+        const auto revisions = this->builder.CreateVector(this->revisions);
+        const bool anyRemoved = std::ranges::find(this->removed, 1) != this->removed.end();
+        const auto removed = anyRemoved ? this->builder.CreateVector(this->removed) : 0;
+        const auto texts = this->builder.CreateVectorOfStrings(this->texts.all());
+        const auto upstreams = this->builder.CreateVectorOfStructs(this->upstreams);
+        const auto members = this->builder.CreateVectorOfStructs(this->members);
+        const auto configurations = this->builder.CreateVector(this->configurations);
+        return viewwire::CreateObjects(this->builder, names, revisions, removed, texts, upstreams,
+                                       members, configurations);
+    }
+
+private:
+    void add(const UpstreamEntry &entry)
+    {
+        this->upstreams.emplace_back(
+            entry.wireId, entry.startedAtMs, entry.address.address,
+            wireMilliseconds(entry.slowStart), entry.address.port,
+            this->texts.indexOf(entry.service), this->texts.indexOf(entry.domain),
+            static_cast<std::uint16_t>(
+                std::min(entry.slots, unsigned{std::numeric_limits<std::uint16_t>::max()})),
+            entry.state == UpstreamState::Draining);
+    }
+
+    void add(const Member &member)
+    {
+        this->members.emplace_back(member.peer.address, member.capacity, member.peer.port,
+                                   this->texts.indexOf(member.domain));
+    }
+
+    void add(const Configuration &configuration)
+    {
+        std::vector<Offset<viewwire::Route>> routes;
+        for (const Route &route : configuration.routes)
+            routes.push_back(this->routeOf(route));
+        std::vector<Offset<viewwire::Service>> services;
+        for (const ServiceLimits &service : configuration.services)
+            services.push_back(
+                viewwire::CreateService(this->builder, this->builder.CreateString(service.name),
+                                        wireMilliseconds(service.slowStart),
+                                        service.coldRequestsPerSecond, service.maxConnections));
+        this->configurations.push_back(viewwire::CreateConfiguration(
+            this->builder, configuration.version, wireMilliseconds(configuration.idleTimeout),
+            this->builder.CreateVector(routes), this->builder.CreateVector(services)));
+    }
+
+    Offset<viewwire::Route> routeOf(const Route &route)
+    {
+        std::vector<viewwire::Share> shares;
+        for (const ServiceShare &share : route.services)
+            shares.emplace_back(share.weight, this->texts.indexOf(share.service));
+        return viewwire::CreateRoute(this->builder, this->builder.CreateString(route.name),
+                                     route.address.address, route.address.port,
+                                     route.kind == RequestKind::Idempotent,
+                                     this->builder.CreateVectorOfStructs(shares));
+    }
+
+    FlatBufferBuilder &builder;
+    TextTable texts;
+    std::vector<Offset<flatbuffers::String>> names;
+    std::vector<std::uint64_t> revisions;
+    std::vector<std::uint8_t> removed;
+    std::vector<viewwire::UpstreamNumbers> upstreams;
+    std::vector<viewwire::MemberNumbers> members;
+    std::vector<Offset<viewwire::Configuration>> configurations;
+};
+
+Bytes bytesOf(const FlatBufferBuilder &builder)
+{
+    const auto *begin = reinterpret_cast<const std::byte *>(builder.GetBufferPointer());
+    return {begin, begin + builder.GetSize()};
+}
+
+Bytes finishReply(FlatBufferBuilder &builder, PlatformResult result, std::uint64_t revision,
+                  ObjectsWriter &objects)
+{
+    const auto written = objects.finish();
+    builder.Finish(
+        viewwire::CreateReply(builder, static_cast<std::uint8_t>(result), revision, written));
+    return bytesOf(builder);
+}
+
+bool isUsable(const ViewObject &value)
+{
+    return !std::holds_alternative<MalformedObject>(value);
+}
+
+/** \returns the root table if the message is a valid one of this type, or nullptr. */
+template <typename Table>
+const Table *verified(std::span<const std::byte> message)
+{
+    const auto *data = reinterpret_cast<const std::uint8_t *>(message.data());
+    flatbuffers::Verifier verifier(data, message.size());
+    return verifier.VerifyBuffer<Table>() ? flatbuffers::GetRoot<Table>(data) : nullptr;
+}
+
+/** \brief Reads the objects of a message; isGood() is false once something does not fit. */
+class ObjectsReader
+{
+public:
+    ObjectsReader(ViewKind kind, const viewwire::Objects *objects)
+        : kind(kind)
+        , objects(objects)
+    {}
+
+    [[nodiscard]] bool isGood() const { return this->good; }
+
+    std::vector<ViewEvent> read()
+    {
+        std::vector<ViewEvent> events;
+        if (this->objects == nullptr || this->objects->names() == nullptr)
+            return events;
+        const std::size_t count = this->objects->names()->size();
+        if (!this->fits(this->objects->revisions(), count) || !this->hasValues(count)
+            || (this->objects->removed() != nullptr
+                && !this->fits(this->objects->removed(), count))) {
+            this->good = false;
+            return events;
+        }
+        events.reserve(count);
+        for (flatbuffers::uoffset_t i = 0; i < count && this->good; ++i)
+            events.push_back(this->eventAt(i));
+        return events;
+    }
+
+private:
+    template <typename Vector>
+    [[nodiscard]] bool fits(const Vector *vector, std::size_t count) const
+    {
+        return vector != nullptr && vector->size() == count;
+    }
+
+    [[nodiscard]] bool hasValues(std::size_t count) const
+    {
+        switch (this->kind) {
+        case ViewKind::Upstreams:
+            return this->fits(this->objects->upstreams(), count);
+        case ViewKind::Members:
+            return this->fits(this->objects->members(), count);
+        case ViewKind::Configurations:
+            return this->fits(this->objects->configurations(), count);
+        case ViewKind::Evacuations:
+            return true;
+        }
+        return false;
+    }
+
+    ViewEvent eventAt(flatbuffers::uoffset_t i)
+    {
+        ViewEvent event;
+        event.key = this->objects->names()->Get(i)->str();
+        event.version = this->objects->revisions()->Get(i);
+        const auto *removed = this->objects->removed();
+        if (removed == nullptr || removed->Get(i) == 0)
+            event.value = this->valueAt(i, event.key);
+        return event;
+    }
+
+    ViewObject valueAt(flatbuffers::uoffset_t i, const std::string &name)
+    {
+        switch (this->kind) {
+        case ViewKind::Upstreams:
+            return this->upstreamOf(*this->objects->upstreams()->Get(i), name);
+        case ViewKind::Members:
+            return this->memberOf(*this->objects->members()->Get(i), name);
+        case ViewKind::Configurations:
+            return this->configurationOf(*this->objects->configurations()->Get(i));
+        case ViewKind::Evacuations:
+            break;
+        }
+        return Evacuation{};
+    }
+
+    std::string textAt(std::uint16_t index)
+    {
+        const auto *texts = this->objects->texts();
+        if (texts == nullptr || index >= texts->size()) {
+            this->good = false;
+            return {};
+        }
+        return texts->Get(index)->str();
+    }
+
+    ViewObject upstreamOf(const viewwire::UpstreamNumbers &numbers, const std::string &name)
+    {
+        UpstreamEntry entry;
+        entry.name = name;
+        entry.wireId = numbers.wireId();
+        entry.address = {numbers.address(), numbers.port()};
+        entry.service = this->textAt(numbers.service());
+        entry.domain = this->textAt(numbers.domain());
+        entry.state = numbers.draining() ? UpstreamState::Draining : UpstreamState::Ready;
+        entry.slots = numbers.slots();
+        entry.slowStart = std::chrono::milliseconds(numbers.slowStartMs());
+        entry.startedAtMs = numbers.startedAtMs();
+        return entry;
+    }
+
+    ViewObject memberOf(const viewwire::MemberNumbers &numbers, const std::string &name)
+    {
+        return Member{name,
+                      this->textAt(numbers.domain()),
+                      {numbers.address(), numbers.port()},
+                      numbers.capacityMbps()};
+    }
+
+    ViewObject configurationOf(const viewwire::Configuration &wire)
+    {
+        Configuration configuration;
+        configuration.version = wire.version();
+        configuration.idleTimeout = std::chrono::milliseconds(wire.idleTimeoutMs());
+        if (wire.routes() != nullptr) {
+            for (const auto *route : *wire.routes())
+                configuration.routes.push_back(this->routeOf(*route));
+        }
+        if (wire.services() != nullptr) {
+            for (const auto *service : *wire.services())
+                configuration.services.push_back(serviceOf(*service));
+        }
+        return std::make_shared<const Configuration>(std::move(configuration));
+    }
+
+    Route routeOf(const viewwire::Route &wire)
+    {
+        Route route;
+        route.name = textOf(wire.name());
+        route.address = {wire.address(), wire.port()};
+        route.kind = wire.idempotent() ? RequestKind::Idempotent : RequestKind::RunAtMostOnce;
+        if (wire.shares() != nullptr) {
+            for (const auto *share : *wire.shares())
+                route.services.push_back({this->textAt(share->service()), share->weight()});
+        }
+        return route;
+    }
+
+    static ServiceLimits serviceOf(const viewwire::Service &wire)
+    {
+        return {textOf(wire.name()), std::chrono::milliseconds(wire.slowStartMs()),
+                wire.coldRequestsPerSecond(), wire.maxConnections()};
+    }
+
+    static std::string textOf(const flatbuffers::String *text)
+    {
+        return text == nullptr ? std::string() : text->str();
+    }
+
+    ViewKind kind;
+    const viewwire::Objects *objects;
+    bool good = true;
+};
+
+/** \brief A decoded reply before it is known whether it answers a list or a watch. */
+struct DecodedReply
+{
+    PlatformResult result = PlatformResult::Unavailable;
+    std::uint64_t revision = 0;
+    std::vector<ViewEvent> events;
+};
+
+std::optional<DecodedReply> decodeReply(ViewKind kind, std::span<const std::byte> message)
+{
+    const auto *reply = verified<viewwire::Reply>(message);
+    if (reply == nullptr)
+        return std::nullopt;
+    if (reply->result() > static_cast<std::uint8_t>(PlatformResult::LostAnswer))
+        return std::nullopt;
+    ObjectsReader reader(kind, reply->objects());
+    DecodedReply decoded{static_cast<PlatformResult>(reply->result()), reply->revision(),
+                         reader.read()};
+    if (!reader.isGood())
+        return std::nullopt;
+    return decoded;
+}
+
+} // namespace internal
+
+Bytes encodeRequest(const ViewRequest &request)
+{
+    flatbuffers::FlatBufferBuilder builder(internal::initialBytes);
+    builder.Finish(viewwire::CreateRequest(builder, static_cast<std::uint8_t>(request.kind),
+                                           request.since.has_value(), request.since.value_or(0),
+                                           internal::wireMilliseconds(request.wait)));
+    return internal::bytesOf(builder);
+}
+
+std::optional<ViewRequest> decodeRequest(std::span<const std::byte> message)
+{
+    const auto *wire = internal::verified<viewwire::Request>(message);
+    if (wire == nullptr || wire->kind() >= viewKindCount)
+        return std::nullopt;
+    ViewRequest request;
+    request.kind = static_cast<ViewKind>(wire->kind());
+    if (wire->watch())
+        request.since = wire->since();
+    request.wait = std::chrono::milliseconds(wire->waitMs());
+    return request;
+}
+
+Bytes encodeList(ViewKind kind, const ViewList &list)
+{
+    flatbuffers::FlatBufferBuilder builder(internal::initialBytes);
+    internal::ObjectsWriter objects(builder);
+    for (const ViewItem &item : list.objects) {
+        if (internal::isUsable(item.value))
+            objects.add(kind, item.key, item.version, &item.value);
+    }
+    return internal::finishReply(builder, list.result, list.revision, objects);
+}
+
+Bytes encodeEvents(ViewKind kind, const ViewEvents &events)
+{
+    flatbuffers::FlatBufferBuilder builder(internal::initialBytes);
+    internal::ObjectsWriter objects(builder);
+    for (const ViewEvent &event : events.events) {
+        const bool present = event.value && internal::isUsable(*event.value);
+        objects.add(kind, event.key, event.version, present ? &*event.value : nullptr);
+    }
+    return internal::finishReply(builder, events.result, events.revision, objects);
+}
+
+std::optional<ViewList> decodeList(ViewKind kind, std::span<const std::byte> message)
+{
+    auto reply = internal::decodeReply(kind, message);
+    if (!reply)
+        return std::nullopt;
+    ViewList list{reply->result, reply->revision, {}};
+    list.objects.reserve(reply->events.size());
+    for (ViewEvent &event : reply->events) {
+        if (event.value)
+            list.objects.push_back({std::move(event.key), event.version, std::move(*event.value)});
+    }
+    return list;
+}
+
+std::optional<ViewEvents> decodeEvents(ViewKind kind, std::span<const std::byte> message)
+{
+    auto reply = internal::decodeReply(kind, message);
+    if (!reply)
+        return std::nullopt;
+    return ViewEvents{reply->result, reply->revision, std::move(reply->events)};
+}
+
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/view/ViewCodec.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "view/ViewObject.h"
+#include "wire/Bytes.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace bulrushgap::balance {
+
+/** \brief Longest message between instances that read each other's view, in bytes. */
+constexpr std::size_t longestViewMessage = 16UL * 1024 * 1024;
+
+/** \brief A read of another instance's view. */
+struct ViewRequest
+{
+    ViewKind kind = ViewKind::Upstreams;
+    std::optional<std::uint64_t> since; //!< For a watch: waits for changes after this revision.
+    std::chrono::milliseconds wait{0};
+
+    friend bool operator==(const ViewRequest &, const ViewRequest &) = default;
+};
+
+/** \brief Messages between instances as FlatBuffers; see view.fbs.
+ *
+ * Decoders return nothing if a message is malformed. Objects that can't be used are left out of a
+ * list and sent as removed in a watch.
+ */
+[[nodiscard]] Bytes encodeRequest(const ViewRequest &request);
+[[nodiscard]] std::optional<ViewRequest> decodeRequest(std::span<const std::byte> message);
+
+[[nodiscard]] Bytes encodeList(ViewKind kind, const ViewList &list);
+[[nodiscard]] std::optional<ViewList> decodeList(ViewKind kind, std::span<const std::byte> message);
+
+[[nodiscard]] Bytes encodeEvents(ViewKind kind, const ViewEvents &events);
+[[nodiscard]] std::optional<ViewEvents> decodeEvents(ViewKind kind,
+                                                     std::span<const std::byte> message);
+
+} // namespace bulrushgap::balance
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -1,9 +1,5 @@
 #include "view/ViewFollower.h"
 
-#include "platform/ObjectCodec.h"
-
-#include <boost/leaf/handle_errors.hpp>
-
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -16,39 +12,28 @@
 /** Shortest time between two full reads of the registry because of unknown flow tags. */
 constexpr Duration verificationInterval = std::chrono::seconds(1);
 
-/** \returns what \a decode gives, or nothing after it has logged why the object can't be used. */
-template <typename Decode>
-auto decodeOrLog(Log &log, Counters &counters, std::string_view kind, std::string_view name,
-                 Decode decode)
+/** \returns the event's value if it has one of this type, or nullptr. */
+template <typename Value>
+const Value *valueOf(const ViewEvent &event)
 {
-    using Result = std::optional<std::decay_t<decltype(*decode())>>;
-    return boost::leaf::try_handle_all(
-        [&]() -> boost::leaf::result<Result> {
-            BOOST_LEAF_AUTO(value, decode());
-            return Result(std::move(value));
-        },
-        [&](const platform::ObjectFormatError &error) {
-            counters.add("object_malformed");
-            log.warn("object_malformed", {{"kind", kind},
-                                          {"name", name},
-                                          {"member", error.member},
-                                          {"expected", error.expected}});
-            return Result();
-        },
-        [&] {
-            counters.add("object_malformed");
-            log.warn("object_malformed", {{"kind", kind}, {"name", name}});
-            return Result();
-        });
+    return event.value ? std::get_if<Value>(&*event.value) : nullptr;
+}
+
+RegistryChange changeOf(const ViewEvent &event)
+{
+    RegistryChange change{event.key, event.version, std::nullopt};
+    if (const auto *entry = valueOf<UpstreamEntry>(event))
+        change.entry = *entry;
+    return change;
 }
 
 /** \returns the entries that name an upstream. */
-std::vector<RegistryEntry> entriesOf(std::span<RegistryChange> changes)
+std::vector<RegistryEntry> entriesOf(std::span<const ViewEvent> events)
 {
     std::vector<RegistryEntry> entries;
-    for (RegistryChange &change : changes) {
-        if (change.entry)
-            entries.push_back({std::move(*change.entry), change.revision});
+    for (const ViewEvent &event : events) {
+        if (const auto *entry = valueOf<UpstreamEntry>(event))
+            entries.push_back({*entry, event.version});
     }
     return entries;
 }
@@ -65,24 +50,24 @@
     , log(log)
     , onChange(std::move(onChange))
     , upstreamWatch(
-          scheduler, store, random, std::string(platform::upstreamKind),
-          [this](const WatchUpdate &update) { this->onUpstreams(update); },
-          [this](bool reachable) { this->onReachable(platform::upstreamKind, reachable); },
+          scheduler, store, random, ViewKind::Upstreams,
+          [this](const ViewUpdate &update) { this->onUpstreams(update); },
+          [this](bool reachable) { this->onReachable(ViewKind::Upstreams, reachable); },
           internal::viewRetry)
     , configurationWatch(
-          scheduler, store, random, std::string(platform::configurationKind),
-          [this](const WatchUpdate &update) { this->onConfiguration(update); },
-          [this](bool reachable) { this->onReachable(platform::configurationKind, reachable); },
+          scheduler, store, random, ViewKind::Configurations,
+          [this](const ViewUpdate &update) { this->onConfiguration(update); },
+          [this](bool reachable) { this->onReachable(ViewKind::Configurations, reachable); },
           internal::viewRetry)
     , evacuationWatch(
-          scheduler, store, random, std::string(platform::evacuationKind),
-          [this](const WatchUpdate &update) { this->onEvacuations(update); },
-          [this](bool reachable) { this->onReachable(platform::evacuationKind, reachable); },
+          scheduler, store, random, ViewKind::Evacuations,
+          [this](const ViewUpdate &update) { this->onEvacuations(update); },
+          [this](bool reachable) { this->onReachable(ViewKind::Evacuations, reachable); },
           internal::viewRetry)
     , memberWatch(
-          scheduler, store, random, std::string(platform::instanceKind),
-          [this](const WatchUpdate &update) { this->onMembers(update); },
-          [this](bool reachable) { this->onReachable(platform::instanceKind, reachable); },
+          scheduler, store, random, ViewKind::Members,
+          [this](const ViewUpdate &update) { this->onMembers(update); },
+          [this](bool reachable) { this->onReachable(ViewKind::Members, reachable); },
           internal::viewRetry)
 {}
 
@@ -96,93 +81,80 @@
     return this->upstreamsKnown && this->evacuationsKnown && this->targets.routes.isLoaded();
 }
 
-void ViewFollower::onUpstreams(const WatchUpdate &update)
+void ViewFollower::onUpstreams(const ViewUpdate &update)
 {
-    this->targets.mirror.apply(platform::upstreamKind, update);
+    this->logMalformed(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
-    std::vector<RegistryChange> changes;
-    changes.reserve(update.events.size());
-    for (const WatchEvent &event : update.events)
-        changes.push_back(this->changeOf(event));
-    if (update.complete)
-        this->targets.directory.replaceAll(internal::entriesOf(changes), now);
-    else
+    if (update.complete) {
+        this->targets.directory.replaceAll(internal::entriesOf(update.events), now);
+    } else {
+        std::vector<RegistryChange> changes;
+        changes.reserve(update.events.size());
+        for (const ViewEvent &event : update.events)
+            changes.push_back(internal::changeOf(event));
         this->targets.directory.update(changes, now);
+    }
     this->upstreamsKnown = true;
     this->targets.steering.refreshColdBudgets();
+    this->targets.mirror.apply(ViewKind::Upstreams, update);
     this->onChange();
 }
 
-RegistryChange ViewFollower::changeOf(const WatchEvent &event)
-{
-    RegistryChange change{event.key, event.version, std::nullopt};
-    if (event.value)
-        change.entry = internal::decodeOrLog(
-            this->log, this->counters, platform::upstreamKind, event.key,
-            [&] { return platform::decodeUpstream(event.key, *event.value); });
-    return change;
-}
-
-void ViewFollower::onConfiguration(const WatchUpdate &update)
+void ViewFollower::onConfiguration(const ViewUpdate &update)
 {
-    this->targets.mirror.apply(platform::configurationKind, update);
-    for (const WatchEvent &event : update.events) {
-        if (event.key != platform::configurationName || !event.value)
-            continue;
-        auto configuration = internal::decodeOrLog(
-            this->log, this->counters, platform::configurationKind, event.key,
-            [&] { return platform::decodeConfiguration(*event.value); });
-        if (!configuration)
+    this->logMalformed(ViewKind::Configurations, update);
+    for (const ViewEvent &event : update.events) {
+        const auto *next = internal::valueOf<ConfigurationPtr>(event);
+        if (next == nullptr)
             continue;
         const std::uint64_t before = this->targets.routes.version();
-        if (!this->targets.routes.update(std::move(*configuration), this->scheduler.now()))
+        if (!this->targets.routes.update(*next, this->scheduler.now()))
             continue;
+        this->configuration = ViewItem{event.key, event.version, *next};
         this->targets.steering.refreshColdBudgets();
         this->log.info("configuration_in_force", {{"version", this->targets.routes.version()},
                                                   {"before", before},
                                                   {"revision", event.version},
                                                   {"routes", this->targets.routes.size()}});
     }
+    this->targets.mirror.apply(ViewKind::Configurations, update);
     this->onChange();
 }
 
-void ViewFollower::onEvacuations(const WatchUpdate &update)
+void ViewFollower::onEvacuations(const ViewUpdate &update)
 {
-    this->targets.mirror.apply(platform::evacuationKind, update);
-    std::set<std::string> next = update.complete ? std::set<std::string>() : this->evacuated;
-    for (const WatchEvent &event : update.events) {
+    std::map<std::string, std::uint64_t> next;
+    if (!update.complete)
+        next = this->evacuated;
+    for (const ViewEvent &event : update.events) {
         if (event.value)
-            next.insert(event.key);
+            next[event.key] = event.version;
         else
             next.erase(event.key);
     }
-    const std::set<std::string> before = this->evacuated;
-    for (const std::string &domain : before) {
-        if (!next.contains(domain))
-            this->setEvacuated(domain, false);
+    const auto before = std::exchange(this->evacuated, std::move(next));
+    for (const auto &[domain, revision] : before) {
+        if (!this->evacuated.contains(domain))
+            this->announceEvacuation(domain, false);
     }
-    for (const std::string &domain : next) {
+    for (const auto &[domain, revision] : this->evacuated) {
         if (!before.contains(domain))
-            this->setEvacuated(domain, true);
+            this->announceEvacuation(domain, true);
     }
     this->evacuationsKnown = true;
+    this->targets.mirror.apply(ViewKind::Evacuations, update);
     this->onChange();
 }
 
-void ViewFollower::onMembers(const WatchUpdate &update)
+void ViewFollower::onMembers(const ViewUpdate &update)
 {
-    this->targets.mirror.apply(platform::instanceKind, update);
+    this->logMalformed(ViewKind::Members, update);
     if (update.complete)
         this->members.clear();
-    for (const WatchEvent &event : update.events) {
+    for (const ViewEvent &event : update.events) {
         this->members.erase(event.key);
-        if (!event.value)
-            continue;
-        auto member = internal::decodeOrLog(
-            this->log, this->counters, platform::instanceKind, event.key,
-            [&] { return platform::decodeMember(event.key, *event.value); });
-        if (member)
-            this->members.emplace(event.key, MemberEntry{std::move(*member), event.version});
+        if (const auto *member = internal::valueOf<Member>(event))
+            this->members.emplace(event.key, MemberEntry{*member, event.version});
     }
     std::vector<Member> all;
     for (const auto &[name, entry] : this->members)
@@ -196,6 +168,7 @@
         this->upstreamWatch.start();
         this->evacuationWatch.start();
     }
+    this->targets.mirror.apply(ViewKind::Members, update);
     this->onChange();
 }
 
@@ -205,51 +178,86 @@
     if (now - this->verificationAt < internal::verificationInterval)
         return;
     this->verificationAt = now;
-    registry.list(platform::upstreamKind, [this, now](const ListOutcome &outcome) {
-        if (outcome.result != PlatformResult::Ok)
+    registry.list(ViewKind::Upstreams, [this, now](const ViewList &list) {
+        this->log.info("registry_verified", {{"result", toString(list.result)},
+                                             {"revision", list.revision},
+                                             {"entries", list.objects.size()}});
+        if (list.result != PlatformResult::Ok)
             return;
         std::vector<RegistryChange> changes;
-        for (const StoredObject &object : outcome.objects) {
-            auto change = this->changeOf({object.key, object.version, object.value});
-            if (change.entry)
-                changes.push_back(std::move(change));
+        for (const ViewItem &item : list.objects) {
+            if (const auto *entry = std::get_if<UpstreamEntry>(&item.value))
+                changes.push_back({item.key, item.version, *entry});
         }
         this->targets.directory.update(changes, this->scheduler.now());
         this->targets.steering.viewVerified(now);
-        this->log.info("registry_verified",
-                       {{"revision", outcome.revision}, {"entries", outcome.objects.size()}});
     });
 }
 
+std::vector<ViewItem> ViewFollower::snapshot(ViewKind kind) const
+{
+    std::vector<ViewItem> items;
+    switch (kind) {
+    case ViewKind::Upstreams:
+        for (UpstreamIndex index = 0; index < this->targets.directory.size(); ++index) {
+            const Upstream &upstream = this->targets.directory.at(index);
+            if (upstream.listed)
+                items.push_back({upstream.entry.name, upstream.revision, upstream.entry});
+        }
+        break;
+    case ViewKind::Configurations:
+        if (this->configuration)
+            items.push_back(*this->configuration);
+        break;
+    case ViewKind::Evacuations:
+        for (const auto &[domain, revision] : this->evacuated)
+            items.push_back({domain, revision, Evacuation{}});
+        break;
+    case ViewKind::Members:
+        for (const auto &[name, entry] : this->members)
+            items.push_back({name, entry.revision, entry.member});
+        break;
+    }
+    return items;
+}
+
 bool ViewFollower::hasMember(const Member &member) const
 {
     const auto found = this->members.find(member.name);
     return found != this->members.end() && found->second.member == member;
 }
 
-void ViewFollower::setEvacuated(const std::string &domain, bool isEvacuated)
+void ViewFollower::announceEvacuation(const std::string &domain, bool isEvacuated)
 {
-    if (isEvacuated)
-        this->evacuated.insert(domain);
-    else
-        this->evacuated.erase(domain);
     this->targets.directory.setEvacuated(domain, isEvacuated);
     if (!isEvacuated)
         this->targets.steering.domainReturned(domain, this->scheduler.now());
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
-void ViewFollower::onReachable(std::string_view kind, bool reachable)
+void ViewFollower::logMalformed(ViewKind kind, const ViewUpdate &update)
+{
+    for (const ViewEvent &event : update.events) {
+        const auto *malformed = internal::valueOf<MalformedObject>(event);
+        if (malformed == nullptr)
+            continue;
+        this->counters.add("object_malformed");
+        this->log.warn("object_malformed", {{"kind", toString(kind)},
+                                            {"name", event.key},
+                                            {"member", malformed->member},
+                                            {"expected", malformed->expected}});
+    }
+}
+
+void ViewFollower::onReachable(ViewKind kind, bool reachable)
 {
     if (reachable) {
-        this->unreachable.erase(std::string(kind));
-        if (kind == platform::upstreamKind && this->store.takeStoreFailure())
+        if (kind == ViewKind::Upstreams && this->store.takeStoreFailure())
             this->targets.directory.registryReturned(this->scheduler.now());
-        this->log.info("dependency_regained", {{"dependency", "store"}, {"kind", kind}});
+        this->log.info("dependency_regained", {{"dependency", "store"}, {"kind", toString(kind)}});
     } else {
-        this->unreachable.insert(std::string(kind));
         this->counters.add("store_unreachable");
-        this->log.warn("dependency_lost", {{"dependency", "store"}, {"kind", kind}});
+        this->log.warn("dependency_lost", {{"dependency", "store"}, {"kind", toString(kind)}});
     }
     this->onChange();
 }
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -6,13 +6,13 @@
 #include "steering/PacketSteering.h"
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
-#include "view/ObjectWatch.h"
 #include "view/SourcedStore.h"
 
 #include <functional>
 #include <map>
-#include <set>
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace bulrushgap::balance {
 
@@ -42,6 +42,9 @@
     /** \brief Reads all entries from \a registry and adds what a watch has missed. */
     void verifyUpstreams(ObjectSource &registry);
 
+    /** \returns all objects of a kind as the view has them. */
+    [[nodiscard]] std::vector<ViewItem> snapshot(ViewKind kind) const;
+
     /** \returns whether the store has an up-to-date entry of this instance. */
     [[nodiscard]] bool hasMember(const Member &member) const;
 
@@ -49,13 +52,13 @@
     [[nodiscard]] bool isComplete() const;
 
 private:
-    void onUpstreams(const WatchUpdate &update);
-    void onConfiguration(const WatchUpdate &update);
-    void onEvacuations(const WatchUpdate &update);
-    [[nodiscard]] RegistryChange changeOf(const WatchEvent &event);
-    void onMembers(const WatchUpdate &update);
-    void onReachable(std::string_view kind, bool reachable);
-    void setEvacuated(const std::string &domain, bool evacuated);
+    void onUpstreams(const ViewUpdate &update);
+    void onConfiguration(const ViewUpdate &update);
+    void onEvacuations(const ViewUpdate &update);
+    void onMembers(const ViewUpdate &update);
+    void onReachable(ViewKind kind, bool reachable);
+    void logMalformed(ViewKind kind, const ViewUpdate &update);
+    void announceEvacuation(const std::string &domain, bool isEvacuated);
 
     const Scheduler &scheduler;
     SourcedStore &store;
@@ -63,13 +66,13 @@
     Counters &counters;
     Log &log;
     ChangeHandler onChange;
-    ObjectWatch upstreamWatch;
-    ObjectWatch configurationWatch;
-    ObjectWatch evacuationWatch;
-    ObjectWatch memberWatch;
+    ViewWatch upstreamWatch;
+    ViewWatch configurationWatch;
+    ViewWatch evacuationWatch;
+    ViewWatch memberWatch;
     MemberEntries members;
-    std::set<std::string> evacuated;
-    std::set<std::string> unreachable;
+    std::optional<ViewItem> configuration;          //!< The one in force.
+    std::map<std::string, std::uint64_t> evacuated; //!< Domains with the revision of the order.
     TimePoint verificationAt{};
     bool membersKnown = false;
     bool upstreamsKnown = false;
--- /dev/null
+++ b/src/view/ViewObject.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "directory/Configuration.h"
+#include "directory/UpstreamEntry.h"
+#include "store/ObjectWatch.h"
+#include "view/Member.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace bulrushgap::balance {
+
+/** \brief The sets of objects that make up an instance's view of the deployment. */
+enum class ViewKind : std::uint8_t {
+    Upstreams,      //!< Entries of upstreams, UpstreamEntry.
+    Configurations, //!< The operators' configuration, one object.
+    Evacuations,    //!< Failure domains that are to get nothing, by name.
+    Members,        //!< Instances, Member.
+};
+
+constexpr std::size_t viewKindCount = 4;
+
+[[nodiscard]] std::string_view toString(ViewKind kind);
+
+/** \brief An order that the failure domain of the object's name gets no new flows. */
+struct Evacuation
+{
+    friend bool operator==(const Evacuation &, const Evacuation &) = default;
+};
+
+/** \brief An object of a foreign writer that can't be used, and why. */
+struct MalformedObject
+{
+    std::string member; //!< Member that is missing or has the wrong type.
+    std::string expected;
+
+    friend bool operator==(const MalformedObject &, const MalformedObject &) = default;
+};
+
+using ConfigurationPtr = std::shared_ptr<const Configuration>;
+
+using ViewObject
+    = std::variant<MalformedObject, UpstreamEntry, ConfigurationPtr, Evacuation, Member>;
+
+using ViewItem = BasicStoredObject<ViewObject>;
+using ViewList = BasicListOutcome<ViewObject>;
+using ViewEvent = BasicWatchEvent<ViewObject>;
+using ViewEvents = BasicWatchOutcome<ViewObject>;
+using ViewUpdate = BasicWatchUpdate<ViewObject>;
+using ViewStore = BasicWatchableStore<ViewKind, ViewObject>;
+using ViewWatch = BasicObjectWatch<ViewKind, ViewObject>;
+
+} // namespace bulrushgap::balance
--- a/tests/MessageCodec.cpp
+++ b/tests/MessageCodec.cpp
@@ -1,8 +1,8 @@
 #include "peer/MessageCodec.h"
 
-#include "peer/FrameReader.h"
 #include "peer/RelayCodec.h"
 #include "peer/peer_generated.h"
+#include "service/FrameReader.h"
 
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
@@ -164,7 +164,7 @@
     const Bytes tail = FrameReader::frame(second);
     stream.insert(stream.end(), tail.begin(), tail.end());
     for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
-        FrameReader reader;
+        FrameReader reader{maximalFrameSize};
         std::vector<Bytes> frames;
         for (const auto part : {std::span(stream).first(cut), std::span(stream).subspan(cut)}) {
             reader.append(part);
@@ -173,7 +173,7 @@
         }
         CHECK(frames == std::vector<Bytes>{first, second});
     }
-    FrameReader reader;
+    FrameReader reader{maximalFrameSize};
     reader.append(Bytes(4, std::byte{0xff}));
     CHECK_FALSE(reader.next());
     CHECK(reader.isBroken());
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -54,7 +54,7 @@
         configuration.version = 1;
         configuration.routes = {{"feed", route, {{"s1", 1}}, RequestKind::Idempotent},
                                 {"booking", bookingRoute, {{"s1", 1}}, RequestKind::RunAtMostOnce}};
-        this->routes.update(configuration, at(0));
+        this->routes.update(std::make_shared<const Configuration>(configuration), at(0));
     }
 
     void addUpstream(const std::string &name, const std::string &domain,
@@ -178,7 +178,7 @@
           == Action::Forward);
     Configuration next;
     next.version = 2;
-    world.routes.update(next, at(1));
+    world.routes.update(std::make_shared<const Configuration>(next), at(1));
     CHECK(world.decide(data(caller(2), world.tagOf(0), 1, 1, 5), 2).reason
           == SteeringReason::RouteRemoved);
     CHECK(world.decide(syn(caller(2)), 2).action == Action::Reset);
@@ -467,7 +467,7 @@
     next.version = 2;
     next.routes = {{"feed", route, {{"s1", 1}}, RequestKind::Idempotent}};
     next.services = {{"s1", std::chrono::seconds(2), 4.0, 100}};
-    world.routes.update(next, at(0));
+    world.routes.update(std::make_shared<const Configuration>(next), at(0));
     world.addUpstream("a-1", "a");
     world.directory.setEvacuated("a", true);
     world.directory.setEvacuated("a", false);
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -2,7 +2,7 @@
 #include "service/AsioScheduler.h"
 #include "service/HttpRoutes.h"
 #include "store.h"
-#include "view/ObjectWatch.h"
+#include "store/ObjectWatch.h"
 
 #include <boost/json.hpp>
 
--- a/tests/RouteTable.cpp
+++ b/tests/RouteTable.cpp
@@ -7,13 +7,14 @@
 
 namespace {
 
-Configuration configuration(std::uint64_t version, std::initializer_list<const char *> addresses,
-                            const std::string &service = "s1")
+std::shared_ptr<const Configuration> configuration(std::uint64_t version,
+                                                   std::initializer_list<const char *> addresses,
+                                                   const std::string &service = "s1")
 {
-    Configuration result;
-    result.version = version;
+    auto result = std::make_shared<Configuration>();
+    result->version = version;
     for (const char *address : addresses)
-        result.routes.push_back({address, *Endpoint::parse(address), {{service, 1}}, {}});
+        result->routes.push_back({address, *Endpoint::parse(address), {{service, 1}}, {}});
     return result;
 }
 
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -1,15 +1,16 @@
 #include "view/SourcedStore.h"
 
 #include "Loopback.h"
-#include "platform/ObjectCodec.h"
 #include "platform/StoreClient.h"
-#include "role/MirrorServer.h"
+#include "role/PeerViewClient.h"
+#include "role/PeerViewServer.h"
 #include "service/AsioScheduler.h"
 #include "view/ObjectMirror.h"
 
-#include <boost/json/parse.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,67 +20,90 @@
 namespace {
 
 const Endpoint anyPort{0x7f000001, 0};
+const std::vector<ViewKind> allKinds{ViewKind::Upstreams, ViewKind::Configurations,
+                                     ViewKind::Evacuations, ViewKind::Members};
 
-/** \brief A mirror on a loopback port, in the place of the store or of another instance. */
-struct MirrorProcess
+/** \returns an object that the kind can hold. */
+ViewObject sampleOf(ViewKind kind, const std::string &name)
 {
-    explicit MirrorProcess(boost::asio::io_context &context)
+    switch (kind) {
+    case ViewKind::Upstreams: {
+        UpstreamEntry entry;
+        entry.name = name;
+        return entry;
+    }
+    case ViewKind::Configurations:
+        return std::make_shared<const Configuration>();
+    case ViewKind::Members:
+        return Member{name, "a", {1, 1}, 1};
+    case ViewKind::Evacuations:
+        break;
+    }
+    return Evacuation{};
+}
+
+/** \brief Another instance on a loopback port. */
+struct PeerProcess
+{
+    explicit PeerProcess(boost::asio::io_context &context)
         : scheduler(asioScheduler(context))
-        , server(context, anyPort)
-        , mirror(this->scheduler, [this] { return this->direct; })
-        , adapter(this->server, this->mirror)
+        , mirror(
+              this->scheduler, [this] { return this->direct; },
+              [this](ViewKind kind) { return this->objects[kind]; })
+        , server(context, anyPort, this->mirror, this->counters)
         , endpoint(startServer(this->server))
     {}
 
-    void add(std::string_view kind, const std::string &name, std::uint64_t revision,
-             bool complete = false)
+    void add(ViewKind kind, const std::string &name, std::uint64_t revision, bool complete = false)
     {
-        WatchUpdate update{complete, revision, {}};
-        update.events.push_back({name, revision, boost::json::parse(R"({"domain":"a"})")});
-        this->mirror.apply(kind, update);
+        const ViewObject object = sampleOf(kind, name);
+        this->objects[kind].push_back({name, revision, object});
+        this->mirror.apply(kind, {complete, revision, {{name, revision, object}}});
     }
 
     bool direct = true;
+    std::map<ViewKind, std::vector<ViewItem>> objects;
+    Counters counters;
     Scheduler scheduler;
-    HttpServer server;
     ObjectMirror mirror;
-    MirrorServer adapter;
+    PeerViewServer server;
     Endpoint endpoint;
 };
 
 /** \brief An instance that prefers another instance and falls back to the store. */
 struct Follower
 {
-    Follower(boost::asio::io_context &context, Endpoint peer, Endpoint storeEndpoint)
+    /** \param store an instance in the place of the store. */
+    Follower(boost::asio::io_context &context, Endpoint peer, Endpoint store, bool started = true)
         : scheduler(asioScheduler(context))
-        , store(context, storeEndpoint, this->counters)
+        , store(context, store, this->counters)
         , sources("a-2", "a")
         , sourced(this->scheduler, this->store, this->sources, this->counters, this->log,
-                  {[&](Endpoint address) {
-                       return std::make_unique<platform::StoreClient>(
-                           context, address, this->counters, "peer", platform::peerTimeouts());
+                  {[this, &context](Endpoint address) {
+                       return std::make_unique<PeerViewClient>(context, address, this->counters);
                    },
                    [] {
                    }})
     {
         const std::vector<Member> members{{"a-1", "a", peer, 9}, {"a-2", "a", Endpoint{1, 1}, 1}};
         this->sources.update(members, TimePoint{});
-        this->sources.started();
+        if (started)
+            this->sources.started();
     }
 
     Scheduler scheduler;
     Counters counters;
     Log log{LogOptions{20, {}, [](LogLevel, const std::string &) {
                        }}};
-    platform::StoreClient store;
+    PeerViewClient store;
     ViewSources sources;
     SourcedStore sourced;
 };
 
-WatchOutcome watch(boost::asio::io_context &context, SourcedStore &store, std::string_view kind,
-                   std::uint64_t since)
+ViewEvents watch(boost::asio::io_context &context, SourcedStore &store, ViewKind kind,
+                 std::uint64_t since)
 {
-    return await<WatchOutcome>(context, [&](WatchableStore::WatchHandler handler) {
+    return await<ViewEvents>(context, [&](ViewStore::WatchHandler handler) {
         store.watch(kind, since, std::move(handler));
     });
 }
@@ -90,12 +114,12 @@
 TEST_CASE("another instance answers lists and watches as the store does", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorProcess peer(context);
-    MirrorProcess store(context);
+    PeerProcess peer(context);
+    PeerProcess store(context);
     Follower follower(context, peer.endpoint, store.endpoint);
-    peer.add("servers", "i-1", 5, true);
-    const auto list = await<ListOutcome>(context, [&](WatchableStore::ListHandler handler) {
-        follower.sourced.list("servers", std::move(handler));
+    peer.add(ViewKind::Upstreams, "i-1", 5, true);
+    const auto list = await<ViewList>(context, [&](ViewStore::ListHandler handler) {
+        follower.sourced.list(ViewKind::Upstreams, std::move(handler));
     });
     REQUIRE(list.result == PlatformResult::Ok);
     REQUIRE(list.objects.size() == 1);
@@ -103,8 +127,8 @@
     CHECK(list.objects[0].version == 5);
     CHECK(list.revision == 5);
     CHECK_FALSE(follower.sourced.isDirect());
-    peer.add("servers", "i-2", 8);
-    const auto changes = watch(context, follower.sourced, "servers", 5);
+    peer.add(ViewKind::Upstreams, "i-2", 8);
+    const auto changes = watch(context, follower.sourced, ViewKind::Upstreams, 5);
     REQUIRE(changes.events.size() == 1);
     CHECK(changes.events[0].key == "i-2");
     CHECK(changes.revision == 8);
@@ -114,27 +138,28 @@
 TEST_CASE("a watch from before the known history is told so", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorProcess peer(context);
+    PeerProcess peer(context);
     Follower follower(context, peer.endpoint, peer.endpoint);
-    peer.add("servers", "i-1", 5, true);
-    CHECK(watch(context, follower.sourced, "servers", 4).result == PlatformResult::Gone);
-    CHECK(watch(context, follower.sourced, "servers", 5).result == PlatformResult::Ok);
+    peer.add(ViewKind::Upstreams, "i-1", 5, true);
+    CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 4).result == PlatformResult::Gone);
+    CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 5).result == PlatformResult::Ok);
 }
 
 // Guards against a change that waits for the end of a watch.
 TEST_CASE("a waiting watch is answered by a change", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorProcess peer(context);
+    PeerProcess peer(context);
     Follower follower(context, peer.endpoint, peer.endpoint);
-    peer.add("servers", "i-1", 5, true);
-    static_cast<void>(watch(context, follower.sourced, "servers", 5));
-    std::optional<WatchOutcome> outcome;
-    follower.sourced.watch("servers", 5, [&](WatchOutcome received) { outcome = received; });
+    peer.add(ViewKind::Upstreams, "i-1", 5, true);
+    static_cast<void>(watch(context, follower.sourced, ViewKind::Upstreams, 5));
+    std::optional<ViewEvents> outcome;
+    follower.sourced.watch(ViewKind::Upstreams, 5,
+                           [&](ViewEvents received) { outcome = std::move(received); });
     context.restart();
     context.run_for(std::chrono::milliseconds(50));
     CHECK_FALSE(outcome.has_value());
-    peer.add("servers", "i-2", 6);
+    peer.add(ViewKind::Upstreams, "i-2", 6);
     REQUIRE(runUntil(context, [&] { return outcome.has_value(); }));
     CHECK(outcome->events.size() == 1);
 }
@@ -145,19 +170,18 @@
           "[SourcedStore]")
 {
     boost::asio::io_context context;
-    auto peer = std::make_unique<MirrorProcess>(context);
-    MirrorProcess store(context);
+    auto peer = std::make_unique<PeerProcess>(context);
+    PeerProcess store(context);
     Follower follower(context, peer->endpoint, store.endpoint);
-    const std::vector<std::string> kinds{"servers", "config", "evacuations", "instances"};
-    for (const std::string &kind : kinds) {
+    for (const ViewKind kind : allKinds) {
         peer->add(kind, "x-1", 5, true);
         store.add(kind, "x-1", 5, true);
         static_cast<void>(watch(context, follower.sourced, kind, 5));
     }
     int failed = 0;
     for (int round = 0; round < 3; ++round) {
-        for (const std::string &kind : kinds)
-            follower.sourced.watch(kind, 5, [&](const WatchOutcome &outcome) {
+        for (const ViewKind kind : allKinds)
+            follower.sourced.watch(kind, 5, [&](const ViewEvents &outcome) {
                 failed += outcome.result == PlatformResult::Ok ? 0 : 1;
             });
     }
@@ -166,7 +190,7 @@
     peer.reset();
     REQUIRE(runUntil(context, [&] { return failed == 12; }));
     CHECK(follower.sources.followsStore());
-    for (const std::string &kind : kinds)
+    for (const ViewKind kind : allKinds)
         CHECK(watch(context, follower.sourced, kind, 5).result == PlatformResult::Ok);
     CHECK(follower.sourced.isDirect());
 }
@@ -175,10 +199,44 @@
 TEST_CASE("an instance that does not follow the store answers nobody", "[SourcedStore]")
 {
     boost::asio::io_context context;
-    MirrorProcess peer(context);
-    MirrorProcess store(context);
+    PeerProcess peer(context);
+    PeerProcess store(context);
     Follower follower(context, peer.endpoint, store.endpoint);
-    peer.add("servers", "i-1", 5, true);
+    peer.add(ViewKind::Upstreams, "i-1", 5, true);
     peer.direct = false;
-    CHECK(watch(context, follower.sourced, "servers", 5).result == PlatformResult::Busy);
+    CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 5).result == PlatformResult::Busy);
+}
+
+// Guards against a start that never ends: a list that was dropped with a failed one has to fail,
+// too.
+TEST_CASE("lists that wait at a failed source fail with it", "[SourcedStore]")
+{
+    boost::asio::io_context context;
+    PeerProcess peer(context);
+    PeerProcess store(context);
+    // While it starts, an instance leaves a source that has no view yet at once.
+    Follower follower(context, peer.endpoint, store.endpoint, false);
+    peer.direct = false;
+    int failed = 0;
+    for (const ViewKind kind : allKinds) {
+        follower.sourced.list(kind, [&](const ViewList &list) {
+            failed += list.result == PlatformResult::Ok ? 0 : 1;
+        });
+    }
+    REQUIRE(runUntil(context, [&] { return failed == 4; }));
+}
+
+// Guards against a follower that waits for good on a connection that something between the two has
+// lost track of.
+TEST_CASE("a source that accepts but never answers is left", "[SourcedStore]")
+{
+    boost::asio::io_context context;
+    boost::asio::ip::tcp::acceptor silent(context, {boost::asio::ip::address_v4::loopback(), 0});
+    PeerProcess store(context);
+    store.add(ViewKind::Upstreams, "i-1", 5, true);
+    const Endpoint silentAddress{0x7f000001, silent.local_endpoint().port()};
+    Follower follower(context, silentAddress, store.endpoint);
+    CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 5).result
+          == PlatformResult::Unavailable);
+    CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 5).result == PlatformResult::Ok);
 }
--- /dev/null
+++ b/tests/ViewCodec.cpp
@@ -0,0 +1,164 @@
+#include "view/ViewCodec.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+using namespace bulrushgap;
+using namespace bulrushgap::balance;
+using std::chrono::milliseconds;
+
+namespace {
+
+UpstreamEntry upstreamEntry()
+{
+    UpstreamEntry entry;
+    entry.name = "i-7f3a91c2aa";
+    entry.wireId = 0x7f3a91c2aa;
+    entry.address = *Endpoint::parse("10.128.0.9:8080");
+    entry.service = "dispatch";
+    entry.domain = "yala";
+    entry.state = UpstreamState::Draining;
+    entry.slots = 2;
+    entry.slowStart = milliseconds(1'500);
+    entry.startedAtMs = 1'791'000'000'123;
+    return entry;
+}
+
+Configuration configuration()
+{
+    Configuration result;
+    result.version = 42;
+    result.idleTimeout = milliseconds(15'000);
+    result.routes = {{"feed",
+                      *Endpoint::parse("198.18.0.1:8443"),
+                      {{"dispatch", 90}, {"gallery", 10}},
+                      RequestKind::Idempotent},
+                     {"booking",
+                      *Endpoint::parse("198.18.0.1:80"),
+                      {{"dispatch", 1}},
+                      RequestKind::RunAtMostOnce}};
+    result.services = {{"dispatch", std::chrono::seconds(2), 4.5, 2'000}};
+    return result;
+}
+
+/** \returns an object of each kind. */
+ViewObject sampleOf(ViewKind kind)
+{
+    switch (kind) {
+    case ViewKind::Upstreams:
+        return upstreamEntry();
+    case ViewKind::Configurations:
+        return std::make_shared<const Configuration>(configuration());
+    case ViewKind::Members:
+        return Member{"i-7f3a91c2aa", "yala", *Endpoint::parse("10.0.0.1:7720"), 200};
+    case ViewKind::Evacuations:
+        break;
+    }
+    return Evacuation{};
+}
+
+bool same(const ViewObject &first, const ViewObject &second)
+{
+    const auto *left = std::get_if<ConfigurationPtr>(&first);
+    const auto *right = std::get_if<ConfigurationPtr>(&second);
+    if (left == nullptr || right == nullptr)
+        return first == second;
+    return (*left)->version == (*right)->version && (*left)->idleTimeout == (*right)->idleTimeout
+           && (*left)->routes == (*right)->routes && (*left)->services == (*right)->services;
+}
+
+const auto anyKind = [] {
+    return GENERATE(ViewKind::Upstreams, ViewKind::Configurations, ViewKind::Evacuations,
+                    ViewKind::Members);
+};
+
+} // namespace
+
+// Guards against a field that another instance sees otherwise than this one.
+TEST_CASE("objects of each kind survive the way between instances", "[ViewCodec]")
+{
+    const ViewKind kind = anyKind();
+    const ViewList list{PlatformResult::Ok, 77, {{"i-7f3a91c2aa", 70, sampleOf(kind)}}};
+    const auto decodedList = decodeList(kind, encodeList(kind, list));
+    REQUIRE(decodedList);
+    CHECK(decodedList->revision == 77);
+    REQUIRE(decodedList->objects.size() == 1);
+    CHECK(decodedList->objects[0].version == 70);
+    CHECK(same(decodedList->objects[0].value, list.objects[0].value));
+
+    const ViewEvents events{
+        PlatformResult::Ok, 80, {{"i-7f3a91c2aa", 78, sampleOf(kind)}, {"gone", 79, std::nullopt}}};
+    const auto decoded = decodeEvents(kind, encodeEvents(kind, events));
+    REQUIRE(decoded);
+    REQUIRE(decoded->events.size() == 2);
+    CHECK(same(*decoded->events[0].value, *events.events[0].value));
+    CHECK(decoded->events[1].key == "gone");
+    CHECK_FALSE(decoded->events[1].value);
+}
+
+// Guards against entries of foreign writers that one instance passes on to others.
+TEST_CASE("objects that can't be used are not passed on", "[ViewCodec]")
+{
+    const ViewKind kind = ViewKind::Upstreams;
+    const ViewObject malformed = MalformedObject{"addr", "an address"};
+    const auto list
+        = decodeList(kind, encodeList(kind, {PlatformResult::Ok, 1, {{"a", 1, malformed}}}));
+    REQUIRE(list);
+    CHECK(list->objects.empty());
+    const auto events
+        = decodeEvents(kind, encodeEvents(kind, {PlatformResult::Ok, 1, {{"a", 1, malformed}}}));
+    REQUIRE(events);
+    REQUIRE(events->events.size() == 1);
+    CHECK_FALSE(events->events[0].value);
+}
+
+// Guards against results and requests that change on the way.
+TEST_CASE("requests and refusals survive the way between instances", "[ViewCodec]")
+{
+    const auto request = GENERATE(values<ViewRequest>({
+        {ViewKind::Upstreams, std::nullopt, milliseconds(0)},
+        {ViewKind::Members, 0, milliseconds(15'000)},
+        {ViewKind::Evacuations, UINT64_MAX, milliseconds(60)},
+    }));
+    CHECK(decodeRequest(encodeRequest(request)) == request);
+    const PlatformResult result = GENERATE(PlatformResult::Busy, PlatformResult::Gone);
+    const auto events = decodeEvents(request.kind, encodeEvents(request.kind, {result, 0, {}}));
+    REQUIRE(events);
+    CHECK(events->result == result);
+}
+
+// Guards against a crash by bytes that another version or a stranger has sent.
+TEST_CASE("damaged messages are refused or decoded, never followed", "[ViewCodec]")
+{
+    const ViewKind kind = anyKind();
+    const Bytes good
+        = encodeList(kind, {PlatformResult::Ok, 77, {{"i-7f3a91c2aa", 70, sampleOf(kind)}}});
+    rc::check("mutated messages", [&] {
+        Bytes bytes = good;
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < changes; ++i) {
+            const auto position = *rc::gen::inRange<std::size_t>(0, bytes.size());
+            bytes[position] = static_cast<std::byte>(*rc::gen::inRange(0, 256));
+        }
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+        static_cast<void>(decodeList(kind, bytes));
+        static_cast<void>(decodeEvents(kind, bytes));
+        static_cast<void>(decodeRequest(bytes));
+    });
+}
+
+// Guards against a view that costs more on the wire than small links carry.
+TEST_CASE("an upstream's entry takes less than 100 bytes between instances", "[ViewCodec]")
+{
+    ViewList list{PlatformResult::Ok, 1, {}};
+    for (unsigned i = 0; i < 1'000; ++i) {
+        UpstreamEntry entry = upstreamEntry();
+        entry.name = "i-" + std::to_string(1'000'000'000ULL + i);
+        list.objects.push_back({entry.name, i, entry});
+    }
+    CHECK(encodeList(ViewKind::Upstreams, list).size() < 100'000);
+}
