--- a/src/role/BalancerCommand.cpp
+++ b/src/role/BalancerCommand.cpp
@@ -3,6 +3,7 @@
 #include "role/BalancerRole.h"
 #include "service/CommandOptions.h"
 #include "service/ExitCode.h"
+#include "service/FileWatch.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -10,6 +11,7 @@
 
 #include <unistd.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -20,7 +22,10 @@
 
 constexpr const char *settingsVariable = "BULRUSHGAP_NODE_FILE";
 
-/** \brief Reads the settings again after SIGHUP; faults are printed and change nothing. */
+/** How often the settings file is looked at: it may change without a signal. */
+constexpr std::chrono::milliseconds settingsInterval{2'000};
+
+/** \brief Reads the settings again; with a fault the former ones stay. */
 void reloadSettings(BalancerRole &role, const std::string &file)
 {
     boost::leaf::try_handle_all(
@@ -29,17 +34,20 @@
             role.reload(settings);
             return {};
         },
-        [&](const SettingsFaults &error) { static_cast<void>(reportFaults(file, error.faults)); },
-        [] {});
+        [&](const SettingsFaults &error) {
+            for (const Fault &fault : error.faults)
+                role.reloadRefused(fault.toString());
+        },
+        [&] { role.reloadRefused("the file can't be read"); });
 }
 
-void waitForReload(boost::asio::signal_set &signals, BalancerRole &role, const std::string &file)
+void waitForReload(boost::asio::signal_set &signals, FileWatch &watch)
 {
     signals.async_wait([&](boost::system::error_code error, int /*signal*/) {
         if (error)
             return;
-        reloadSettings(role, file);
-        waitForReload(signals, role, file);
+        watch.check();
+        waitForReload(signals, watch);
     });
 }
 
@@ -56,7 +64,8 @@
             role.beginStop();
     });
     boost::asio::signal_set reloadSignals(context, SIGHUP);
-    waitForReload(reloadSignals, role, file);
+    FileWatch settingsWatch(context, file, settingsInterval, [&] { reloadSettings(role, file); });
+    waitForReload(reloadSignals, settingsWatch);
     context.run();
     return toInt(ExitCode::Success);
 }
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -135,6 +135,11 @@
                               {"store", next.store.toString()}});
 }
 
+void BalancerRole::reloadRefused(std::string_view reason)
+{
+    this->log.warn("reload", {{"outcome", "refused"}, {"reason", reason}});
+}
+
 void BalancerRole::onDatagram(std::span<std::byte> space, std::span<std::byte> datagram)
 {
     if (!this->batchTime)
--- a/src/role/BalancerRole.h
+++ b/src/role/BalancerRole.h
@@ -15,6 +15,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <optional>
+#include <string_view>
 
 namespace bulrushgap {
 
@@ -34,6 +35,9 @@
     /** \brief The settings file has changed; addresses and names need a restart. */
     void reload(const BalancerSettings &next);
 
+    /** \brief The settings file has changed and can't be used; the former settings stay. */
+    void reloadRefused(std::string_view reason);
+
 private:
     [[nodiscard]] balance::BalancerHooks hooks();
     void onDatagram(std::span<std::byte> space, std::span<std::byte> datagram);
