A model of the platform in virtual time, with an experiment command

Change: src/simulation/ models callers (copies, retransmissions, retries, deadlines), a fabric that hashes over the instances in rotation, upstreams with slots, queue, cold start, drain, crash and address reuse, and a store with history, lapses, outages and lost answers; the instances are the product's own Balancer. 32 kinds of fault come alone, in series or overlapping; eleven promises are checked from what callers and upstreams see. `bulrushgap experiment FILE` plays a file, scripts/experiment draws the requests of each second.

--- a/src/app/SettingsKinds.cpp
+++ b/src/app/SettingsKinds.cpp
@@ -2,6 +2,7 @@
 
 #include "service/BalancerSettings.h"
 #include "service/InstanceSettings.h"
+#include "simulation/Experiment.h"
 #include "standin/PlatformStandin.h"
 
 #include <array>
@@ -14,6 +15,7 @@
     static const std::array table{
         SettingsKind{"instance", InstanceSettings::reader},
         SettingsKind{"balancer", BalancerSettings::reader},
+        SettingsKind{"experiment", simulation::Experiment::reader},
         SettingsKind{"platform", PlatformStandinSettings::reader},
     };
     return table;
--- a/tests/support/EventQueue.h
+++ b/src/simulation/EventLoop.h
@@ -1,16 +1,18 @@
 #pragma once
 
+#include "base/Scheduler.h"
 #include "base/Time.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <utility>
 
-namespace bulrushgap::test {
+namespace bulrushgap::simulation {
 
 /** \brief Runs callbacks in the order of virtual time. */
-class EventQueue
+class EventLoop
 {
 public:
     using Callback = std::function<void()>;
@@ -33,10 +35,24 @@
         this->time = end;
     }
 
+    /** \returns the virtual clock and timers on it. */
+    [[nodiscard]] Scheduler scheduler()
+    {
+        return {[this] { return this->time; },
+                [this](Duration delay, Scheduler::Handler handler) -> Scheduler::Timer {
+                    const auto pending = std::make_shared<Scheduler::Handler>(std::move(handler));
+                    this->after(delay, [weak = std::weak_ptr(pending)] {
+                        if (const auto due = weak.lock())
+                            (*due)();
+                    });
+                    return pending;
+                }};
+    }
+
 private:
     TimePoint time{std::chrono::seconds(1000)};
     std::uint64_t sequence = 0;
     std::map<std::pair<TimePoint, std::uint64_t>, Callback> events;
 };
 
-} // namespace bulrushgap::test
+} // namespace bulrushgap::simulation
--- /dev/null
+++ b/src/simulation/SimulatedInstance.cpp
@@ -0,0 +1,310 @@
+#include "simulation/SimulatedInstance.h"
+
+#include "platform/PacketCodec.h"
+#include "simulation/RemoteCall.h"
+#include "view/ViewCodec.h"
+
+#include <utility>
+
+namespace bulrushgap::simulation {
+
+namespace internal {
+
+constexpr Duration simulatedProbeTimeout = std::chrono::milliseconds(110);
+constexpr Duration peerSilence = std::chrono::milliseconds(700);
+constexpr Duration peerWatchMargin = std::chrono::milliseconds(300);
+constexpr Duration simulatedStopDelay = std::chrono::milliseconds(1'500);
+constexpr std::size_t simulatedFlowCapacity = 100'000;
+
+/** Datagrams that fit into the socket of a process that does not read. */
+constexpr std::size_t socketCapacity = 400;
+
+/** \brief Another instance as this one reads it; messages pass through the real codec. */
+class SimulatedPeer : public balance::ObjectSource
+{
+public:
+    using Find = std::function<SimulatedInstance *()>;
+
+    SimulatedPeer(Surroundings &surroundings, CallEnds ends, Find find)
+        : surroundings(surroundings)
+        , ends(std::move(ends))
+        , find(std::move(find))
+    {}
+
+    void list(ViewKind kind, ListHandler handler) override
+    {
+        RemoteCall<ViewList>::send(
+            this->surroundings, this->ends, peerSilence, this->alive, std::move(handler),
+            [find = this->find, kind](auto respond) {
+                onPeer(find, [kind, respond](balance::ObjectMirror &mirror) {
+                    mirror.list(kind, [kind, respond](const auto &list) {
+                        const Bytes message = balance::encodeList(kind, *list);
+                        respond(balance::decodeList(kind, message).value_or(ViewList{}));
+                    });
+                });
+            });
+    }
+
+    void watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+                  WatchHandler handler) override
+    {
+        RemoteCall<ViewEvents>::send(
+            this->surroundings, this->ends, wait + peerWatchMargin, this->watchesAlive,
+            std::move(handler), [find = this->find, kind, since, wait](auto respond) {
+                onPeer(find, [kind, since, wait, respond](balance::ObjectMirror &mirror) {
+                    mirror.watch(kind, since, wait, [kind, respond](const auto &events) {
+                        const Bytes message = balance::encodeEvents(kind, *events);
+                        respond(balance::decodeEvents(kind, message).value_or(ViewEvents{}));
+                    });
+                });
+            });
+    }
+
+    void dropWatches() override { this->watchesAlive = std::make_shared<bool>(true); }
+
+private:
+    /** \brief Runs \a task in the other process; without one, nobody answers. */
+    static void onPeer(const Find &find, const std::function<void(balance::ObjectMirror &)> &task)
+    {
+        SimulatedInstance *peer = find();
+        if (peer == nullptr || !peer->isRunning())
+            return;
+        peer->post([find, task] {
+            SimulatedInstance *running = find();
+            if (running != nullptr && running->mirror() != nullptr)
+                task(*running->mirror());
+        });
+    }
+
+    Surroundings &surroundings;
+    CallEnds ends;
+    Find find;
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::shared_ptr<bool> watchesAlive = std::make_shared<bool>(true);
+};
+
+} // namespace internal
+
+/** \brief What a process has in memory. */
+struct SimulatedInstance::Process
+{
+    Process(SimulatedInstance &instance, const balance::BalancerProfile &profile)
+        : random(instance.surroundings.random())
+        , scheduler(instance.processScheduler())
+        , log(logOptions(instance))
+        , store(
+              instance.surroundings, instance.place(),
+              [&instance](std::function<void()> task) { instance.post(std::move(task)); },
+              this->counters)
+        , balancer(profile, this->scheduler, this->store, this->store, this->random, this->counters,
+                   this->log, instance.balancerHooks())
+    {}
+
+    static LogOptions logOptions(SimulatedInstance &instance)
+    {
+        constexpr unsigned linesPerSecond = 10'000;
+        LogOptions options;
+        options.linesPerSecond = linesPerSecond;
+        options.clock = [&instance] {
+            return instance.surroundings.loop.now();
+        };
+        options.sink = [&instance](LogLevel, const std::string &line) {
+            if (instance.hooks.onLogLine)
+                instance.hooks.onLogLine(instance.self.name, line);
+        };
+        return options;
+    }
+
+    Random random;
+    Scheduler scheduler;
+    Counters counters;
+    Log log;
+    SimulatedStore store;
+    balance::Balancer balancer;
+};
+
+SimulatedInstance::SimulatedInstance(Surroundings &surroundings, balance::Member member,
+                                     SimulatedInstanceHooks hooks)
+    : surroundings(surroundings)
+    , self(std::move(member))
+    , hooks(std::move(hooks))
+{}
+
+SimulatedInstance::~SimulatedInstance() = default;
+
+void SimulatedInstance::start(bool firstStart)
+{
+    this->kill();
+    this->process = std::make_unique<Process>(
+        *this, balance::BalancerProfile{this->self, internal::simulatedFlowCapacity,
+                                        internal::simulatedStopDelay, firstStart});
+    this->process->balancer.start();
+}
+
+void SimulatedInstance::kill()
+{
+    ++this->processNumber;
+    this->reading = false;
+    this->socket.clear();
+    this->frozenUntil.reset();
+    this->process.reset();
+}
+
+void SimulatedInstance::stop()
+{
+    if (this->process)
+        this->process->balancer.beginStop();
+}
+
+void SimulatedInstance::freeze(Duration duration)
+{
+    this->frozenUntil = this->surroundings.loop.now() + duration;
+}
+
+bool SimulatedInstance::isFrozen() const
+{
+    return this->frozenUntil && this->surroundings.loop.now() < *this->frozenUntil;
+}
+
+bool SimulatedInstance::isReady() const
+{
+    return this->process && !this->isFrozen() && this->process->balancer.isReady();
+}
+
+balance::ObjectMirror *SimulatedInstance::mirror()
+{
+    return this->process ? &this->process->balancer.objectMirror() : nullptr;
+}
+
+std::uint64_t SimulatedInstance::counter(std::string_view name) const
+{
+    return this->process ? this->process->counters.value(name) : 0;
+}
+
+void SimulatedInstance::post(std::function<void()> task)
+{
+    if (!this->isFrozen()) {
+        task();
+        return;
+    }
+    const Duration left = *this->frozenUntil - this->surroundings.loop.now();
+    this->surroundings.loop.after(
+        left, [this, number = this->processNumber, task = std::move(task)]() mutable {
+            if (number == this->processNumber)
+                this->post(std::move(task));
+        });
+}
+
+Scheduler SimulatedInstance::processScheduler()
+{
+    const Scheduler &real = this->surroundings.scheduler;
+    return {[&real] { return real.now(); },
+            [this, &real](Duration delay, Scheduler::Handler handler) -> Scheduler::Timer {
+                const auto pending = std::make_shared<Scheduler::Handler>(std::move(handler));
+                const auto due = [this, weak = std::weak_ptr(pending)] {
+                    this->post([weak] {
+                        if (const auto task = weak.lock())
+                            (*task)();
+                    });
+                };
+                this->surroundings.loop.after(delay, [this, due, number = this->processNumber] {
+                    if (number == this->processNumber)
+                        due();
+                });
+                return pending;
+            }};
+}
+
+balance::BalancerHooks SimulatedInstance::balancerHooks()
+{
+    balance::BalancerHooks result;
+    result.probe = [this](Endpoint address, balance::BalancerHooks::ProbeHandler handler) {
+        const balance::ProbeResult outcome = this->hooks.connect(this->place(), address);
+        const bool silent = outcome == balance::ProbeResult::TimedOut;
+        const Duration time
+            = silent ? internal::simulatedProbeTimeout : Duration(std::chrono::milliseconds(1));
+        this->surroundings.loop.after(
+            time, [this, outcome, number = this->processNumber, handler = std::move(handler)] {
+                if (number == this->processNumber)
+                    this->post([handler, outcome] { handler(outcome); });
+            });
+    };
+    result.resetCaller = [this](const balance::FlowPacket &flow) {
+        const platform::ResetBytes bytes = platform::encodeReset(flow);
+        this->hooks.toCaller(*this, {bytes.begin(), bytes.end()});
+    };
+    result.connectPeer = [this](Endpoint peer) -> std::unique_ptr<balance::ObjectSource> {
+        const SimulatedInstance *target = this->hooks.findPeer(peer);
+        const Place to = target == nullptr ? Place{Place::Role::Instance, "nowhere", "nobody"}
+                                           : target->place();
+        return std::make_unique<internal::SimulatedPeer>(
+            this->surroundings,
+            CallEnds{this->place(), to,
+                     [this](std::function<void()> task) {
+                         this->post(std::move(task));
+                     }},
+            [this, peer] { return this->hooks.findPeer(peer); });
+    };
+    result.onReady = [this](bool late) {
+        this->reading = true;
+        if (late)
+            this->socket.clear();
+        for (const WaitingPacket &packet : std::exchange(this->socket, {}))
+            this->decide(packet);
+    };
+    result.onStopped = [this] {
+        // The process ends after the call that stops it.
+        this->surroundings.loop.after(Duration::zero(), [this, number = this->processNumber] {
+            if (number == this->processNumber)
+                this->kill();
+        });
+    };
+    return result;
+}
+
+void SimulatedInstance::onPacket(Bytes packet, TimePoint sentAt)
+{
+    if (!this->process)
+        return;
+    WaitingPacket waiting{std::move(packet), sentAt};
+    if (this->reading && !this->isFrozen()) {
+        this->decide(waiting);
+        return;
+    }
+    if (this->socket.size() >= internal::socketCapacity)
+        return;
+    this->socket.push_back(std::move(waiting));
+    if (this->reading && this->socket.size() == 1)
+        this->post([this] {
+            for (const WaitingPacket &each : std::exchange(this->socket, {}))
+                this->decide(each);
+        });
+}
+
+void SimulatedInstance::decide(const WaitingPacket &packet)
+{
+    const auto header = platform::decodePacket(packet.bytes);
+    if (!header)
+        return;
+    balance::Balancer &balancer = this->process->balancer;
+    const balance::SteeringDecision decision
+        = balancer.decide(*header, packet.bytes, this->surroundings.loop.now());
+    this->hooks.onDecision(*this, *header, decision);
+    if (decision.action == balance::SteeringDecision::Action::Reset) {
+        const platform::ResetBytes bytes = platform::encodeReset(*header);
+        this->hooks.toCaller(*this, {bytes.begin(), bytes.end()});
+    } else if (decision.action == balance::SteeringDecision::Action::Forward) {
+        const balance::Upstream &upstream = balancer.upstream(decision.upstream);
+        Bytes datagram(platform::upstreamIdBytes);
+        platform::writeUpstreamId(std::span(datagram).first<platform::upstreamIdBytes>(),
+                                  upstream.entry.wireId);
+        datagram.insert(datagram.end(), packet.bytes.begin(), packet.bytes.end());
+        if (decision.writeTag)
+            platform::writeFlowTag(std::span(datagram).subspan(platform::upstreamIdBytes),
+                                   upstream.flowTag);
+        this->hooks.toUpstream(*this, upstream.entry.address, std::move(datagram), packet.sentAt);
+    }
+    balancer.armTick();
+}
+
+} // namespace bulrushgap::simulation
--- /dev/null
+++ b/src/simulation/SimulatedStore.cpp
@@ -0,0 +1,150 @@
+#include "simulation/SimulatedStore.h"
+
+#include <utility>
+
+namespace bulrushgap::simulation {
+
+namespace internal {
+
+constexpr Duration storeServiceTime = std::chrono::milliseconds(4);
+constexpr Duration storeCallTimeout = std::chrono::seconds(1);
+constexpr Duration storeWatchMargin = std::chrono::milliseconds(400);
+
+const Place storePlace{Place::Role::Store, "", "store"};
+
+} // namespace internal
+
+SimulatedStore::SimulatedStore(Surroundings &surroundings, Place client, Post post,
+                               Counters &counters)
+    : surroundings(surroundings)
+    , ends{std::move(client), internal::storePlace, std::move(post)}
+    , counters(counters)
+{}
+
+PlatformResult SimulatedStore::refusal() const
+{
+    switch (this->surroundings.storeFaults.modeFor(this->ends.from.name)) {
+    case StoreMode::Busy:
+        return PlatformResult::Busy;
+    case StoreMode::TooMany:
+        return PlatformResult::TooMany;
+    case StoreMode::Reset:
+        return PlatformResult::Unavailable;
+    case StoreMode::Serving:
+    case StoreMode::Silent:
+        break;
+    }
+    return PlatformResult::Ok;
+}
+
+bool SimulatedStore::isSilent() const
+{
+    return this->surroundings.storeFaults.modeFor(this->ends.from.name) == StoreMode::Silent;
+}
+
+Duration SimulatedStore::serviceTime() const
+{
+    return std::chrono::duration_cast<Duration>(internal::storeServiceTime
+                                                * this->surroundings.storeFaults.slowness);
+}
+
+void SimulatedStore::list(ViewKind kind, ListHandler handler)
+{
+    this->counters.add("store_list");
+    RemoteCall<ViewList>::send(
+        this->surroundings, this->ends, internal::storeCallTimeout, this->alive, std::move(handler),
+        [this, kind, weak = std::weak_ptr(this->alive)](auto respond) {
+            if (weak.expired() || this->isSilent())
+                return;
+            if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
+                return respond({refused, 0, {}});
+            this->surroundings.loop.after(this->serviceTime(), [this, kind, weak, respond] {
+                if (!weak.expired())
+                    respond(this->surroundings.store.list(kind));
+            });
+        });
+}
+
+void SimulatedStore::watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+                              WatchHandler handler)
+{
+    this->counters.add("store_watch");
+    RemoteCall<ViewEvents>::send(
+        this->surroundings, this->ends, wait + internal::storeWatchMargin, this->watchesAlive,
+        std::move(handler),
+        [this, kind, since, wait, weak = std::weak_ptr(this->alive)](auto respond) {
+            if (weak.expired() || this->isSilent())
+                return;
+            if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
+                return respond({refused, 0, {}});
+            this->surroundings.store.watch(
+                kind, since, wait, [this, weak, respond](const ViewEvents &events) {
+                    // A store that fell silent meanwhile lets the watch wait.
+                    if (weak.expired() || this->isSilent())
+                        return;
+                    this->surroundings.loop.after(this->serviceTime(),
+                                                  [respond, events] { respond(events); });
+                });
+        });
+}
+
+void SimulatedStore::write(WriteHandler handler, std::function<PlatformResult()> apply)
+{
+    this->counters.add("store_write");
+    const auto onAnswer = [handler = std::move(handler)](std::optional<PlatformResult> result) {
+        handler(result.value_or(PlatformResult::LostAnswer));
+    };
+    RemoteCall<std::optional<PlatformResult>>::send(
+        this->surroundings, this->ends, internal::storeCallTimeout, this->alive, onAnswer,
+        [this, apply = std::move(apply), weak = std::weak_ptr(this->alive)](auto respond) {
+            if (weak.expired() || this->isSilent())
+                return;
+            if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
+                return respond(refused);
+            const double lost = this->surroundings.storeFaults.lostWrites;
+            const PlatformResult result = apply();
+            if (lost > 0 && std::bernoulli_distribution(lost)(this->surroundings.random))
+                return;
+            this->surroundings.loop.after(this->serviceTime(),
+                                          [respond, result] { respond(result); });
+        });
+}
+
+void SimulatedStore::createMember(const balance::Member &member, WriteHandler handler)
+{
+    this->write(std::move(handler), [this, member] {
+        StoreModel &store = this->surroundings.store;
+        if (store.revisionOf(ViewKind::Members, member.name))
+            return PlatformResult::Conflict;
+        store.put(ViewKind::Members, member.name, member);
+        return PlatformResult::Ok;
+    });
+}
+
+void SimulatedStore::replaceMember(const balance::Member &member, WriteHandler handler)
+{
+    this->write(std::move(handler), [this, member] {
+        StoreModel &store = this->surroundings.store;
+        if (!store.revisionOf(ViewKind::Members, member.name))
+            return PlatformResult::NotFound;
+        store.put(ViewKind::Members, member.name, member);
+        return PlatformResult::Ok;
+    });
+}
+
+void SimulatedStore::removeMember(std::string_view name, std::uint64_t revision,
+                                  WriteHandler handler)
+{
+    this->write(std::move(handler), [this, name = std::string(name), revision] {
+        StoreModel &store = this->surroundings.store;
+        const auto known = store.revisionOf(ViewKind::Members, name);
+        if (!known)
+            return PlatformResult::NotFound;
+        if (*known != revision)
+            return PlatformResult::Conflict;
+        store.remove(ViewKind::Members, name);
+        return PlatformResult::Ok;
+    });
+}
+
+} // namespace bulrushgap::simulation
--- /dev/null
+++ b/src/simulation/StoreModel.cpp
@@ -0,0 +1,96 @@
+#include "simulation/StoreModel.h"
+
+#include <utility>
+
+namespace bulrushgap::simulation {
+
+void StoreModel::put(ViewKind kind, const std::string &name, const ViewObject &value)
+{
+    Objects &known = this->objectsOf(kind);
+    const auto found = known.find(name);
+    if (found != known.end() && found->second.value == value)
+        return;
+    ++this->current;
+    known.insert_or_assign(name, balance::ViewItem{name, this->current, value});
+    this->record(kind, {name, this->current, value});
+}
+
+void StoreModel::remove(ViewKind kind, const std::string &name)
+{
+    if (this->objectsOf(kind).erase(name) == 0)
+        return;
+    ++this->current;
+    this->record(kind, {name, this->current, std::nullopt});
+}
+
+std::optional<std::uint64_t> StoreModel::revisionOf(ViewKind kind, const std::string &name) const
+{
+    const Objects &known = this->objects.at(static_cast<std::size_t>(kind));
+    const auto found = known.find(name);
+    return found == known.end() ? std::nullopt : std::optional(found->second.version);
+}
+
+ViewList StoreModel::list(ViewKind kind) const
+{
+    ViewList list{PlatformResult::Ok, this->current, {}};
+    for (const auto &[name, item] : this->objects.at(static_cast<std::size_t>(kind)))
+        list.objects.push_back(item);
+    return list;
+}
+
+void StoreModel::record(ViewKind kind, balance::ViewEvent event)
+{
+    const TimePoint now = this->scheduler.now();
+    this->changes.push_back({now, kind, std::move(event)});
+    while (!this->changes.empty() && now - this->changes.front().at > this->history) {
+        this->oldest = this->changes.front().event.version;
+        this->changes.pop_front();
+    }
+    const auto before = std::exchange(this->waiting, {});
+    for (const auto &watch : before) {
+        if (watch->kind == kind)
+            watch->handler(this->changesSince(kind, watch->since));
+        else
+            this->waiting.push_back(watch);
+    }
+}
+
+ViewEvents StoreModel::changesSince(ViewKind kind, std::uint64_t since) const
+{
+    if (since < this->oldest)
+        return {PlatformResult::Gone, 0, {}};
+    ViewEvents events{PlatformResult::Ok, this->current, {}};
+    for (const Change &change : this->changes) {
+        if (change.kind == kind && change.event.version > since)
+            events.events.push_back(change.event);
+    }
+    return events;
+}
+
+void StoreModel::watch(ViewKind kind, std::uint64_t since, Duration wait, EventsHandler handler)
+{
+    const ViewEvents now = this->changesSince(kind, since);
+    if (now.result != PlatformResult::Ok || !now.events.empty()) {
+        handler(now);
+        return;
+    }
+    const auto watch = std::make_shared<Waiting>(Waiting{kind, since, std::move(handler), {}});
+    watch->timer = this->scheduler.after(wait, [this, weak = std::weak_ptr(watch)] {
+        const auto ended = weak.lock();
+        if (!ended)
+            return;
+        this->waiting.remove(ended);
+        ended->handler({PlatformResult::Ok, this->current, {}});
+    });
+    this->waiting.push_back(watch);
+}
+
+void StoreModel::forgetHistory()
+{
+    this->oldest = this->current;
+    this->changes.clear();
+    for (const auto &watch : std::exchange(this->waiting, {}))
+        watch->handler({PlatformResult::Gone, 0, {}});
+}
+
+} // namespace bulrushgap::simulation
--- /dev/null
+++ b/src/simulation/Surroundings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "base/Scheduler.h"
+#include "simulation/EventLoop.h"
+#include "simulation/Links.h"
+#include "simulation/StoreFaults.h"
+#include "simulation/StoreModel.h"
+
+namespace bulrushgap::simulation {
+
+/** \brief What instances, upstreams and callers of one run share. */
+struct Surroundings
+{
+    Surroundings(std::uint64_t seed, LinkDelays delays, Duration storeHistory)
+        : random(seed)
+        , scheduler(this->loop.scheduler())
+        , links(delays, this->random)
+        , store(this->scheduler, storeHistory)
+    {}
+    Surroundings(const Surroundings &) = delete;
+    Surroundings &operator=(const Surroundings &) = delete;
+
+    EventLoop loop;
+    Random random;
+    Scheduler scheduler;
+    Links links;
+    StoreModel store;
+    StoreFaults storeFaults;
+};
+
+} // namespace bulrushgap::simulation
--- a/src/standin/InstancePoller.cpp
+++ b/src/standin/InstancePoller.cpp
@@ -43,6 +43,7 @@
 void InstancePoller::check(const std::vector<Listed> &listed)
 {
     std::vector<Endpoint> peers;
+    peers.reserve(listed.size());
     for (const Listed &instance : listed)
         peers.push_back(instance.peer);
     checkConnections(this->context, peers, internal::connectTimeout,
--- a/src/store/ObjectWatch.h
+++ b/src/store/ObjectWatch.h
@@ -82,6 +82,7 @@
     void onListed(BasicListOutcome<Value> outcome);
     void onPolled(BasicWatchOutcome<Value> outcome);
     void succeeded();
+    void setReachable(bool now);
     void retryLater();
 
     const Scheduler &scheduler;
@@ -164,8 +165,14 @@
 void BasicObjectWatch<Key, Value>::succeeded()
 {
     this->backoff.reset();
-    if (std::exchange(this->reachable, true) != true && this->onReachable)
-        this->onReachable(true);
+    this->setReachable(true);
+}
+
+template <typename Key, typename Value>
+void BasicObjectWatch<Key, Value>::setReachable(bool now)
+{
+    if (std::exchange(this->reachable, now) != now && this->onReachable)
+        this->onReachable(now);
 }
 
 template <typename Key, typename Value>
@@ -181,8 +188,7 @@
 void BasicObjectWatch<Key, Value>::retryLater()
 {
     this->pollAfter(this->backoff.next());
-    if (std::exchange(this->reachable, false) != false && this->onReachable)
-        this->onReachable(false);
+    this->setReachable(false);
 }
 
 } // namespace bulrushgap
--- a/tests/support/EngineCluster.h
+++ b/tests/support/EngineCluster.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "engine.h"
-#include "support/EventQueue.h"
+#include "simulation/EventLoop.h"
 #include "support/FakeStore.h"
 #include "support/Observations.h"
 #include "support/SimulatedMessage.h"
@@ -169,7 +169,7 @@
     [[nodiscard]] bool due(TimePoint changed) const;
 
     ClusterOptions options;
-    EventQueue queue;
+    simulation::EventLoop queue;
     FakeStore store;
     std::vector<Node> nodes;
     std::vector<std::unique_ptr<Upstream>> upstreams;
--- /dev/null
+++ b/tests/support/SimulatedRuns.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "simulation/Run.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace bulrushgap::test {
+
+constexpr double servedAfterFault = 0.99; //!< Share that is served once a fault is over.
+
+/** \returns the sample deployment with load for a while. */
+inline simulation::RunSettings runOf(Duration length)
+{
+    simulation::RunSettings settings = simulation::sampleRun();
+    settings.length = length;
+    return settings;
+}
+
+inline simulation::RunReport play(const simulation::RunSettings &settings,
+                                  const std::vector<simulation::PlannedFault> &faults,
+                                  std::uint64_t seed)
+{
+    simulation::Run run(settings, faults, seed, {});
+    return run.play();
+}
+
+inline std::string faultLines(const std::vector<simulation::PlannedFault> &faults)
+{
+    std::string lines;
+    for (const simulation::PlannedFault &fault : faults)
+        lines += fault.toString() + '\n';
+    return lines;
+}
+
+/** \brief Checks that no promise was broken, and that requests of the last seconds were served. */
+inline void checkReport(const simulation::RunReport &report,
+                        const simulation::RunSettings &settings)
+{
+    constexpr std::int64_t tailSeconds = 3;
+    INFO(report.toText());
+    CHECK(report.brokenTotal() == 0);
+    const auto end = std::chrono::duration_cast<std::chrono::seconds>(settings.length).count();
+    const simulation::RequestCounts tail = report.between(end - tailSeconds, end);
+    CHECK(tail.total() > 0);
+    CHECK(tail.servedShare() >= servedAfterFault);
+}
+
+} // namespace bulrushgap::test
