--- a/src/simulation/FaultSettings.h
+++ b/src/simulation/FaultSettings.h
@@ -36,7 +36,7 @@
     StoreLapse,           //!< The store is away and entries of upstreams lapse meanwhile.
     StoreRefuses,         //!< The store turns some instances away.
     StoreSlow,            //!< Answers of the store take fifty times as long.
-    StoreLosesAnswers,    //!< A third of the writes is done and not answered.
+    StoreLosesAnswers,    //!< Half of the writes are done and not answered.
     StoreForgets,         //!< The store drops its history.
     RouteDropped,         //!< The last class's route is dropped for \c duration.
     RouteMoved,           //!< The last class's route leads to another service for \c duration.
--- a/tests/OperatorPages.cpp
+++ b/tests/OperatorPages.cpp
@@ -1,6 +1,8 @@
 #include "app/SettingsKinds.h"
 #include "base/Reasons.h"
 #include "service/Field.h"
+#include "simulation/FaultSettings.h"
+#include "steering/SteeringDecision.h"
 
 #include <catch2/catch.hpp>
 
@@ -114,6 +116,28 @@
     }
 }
 
+// Guards against a decision on packets that operators meet in logs or counters and find on no page.
+TEST_CASE("each steering reason is explained", "[OperatorPages]")
+{
+    const auto entries = entriesOf(page("refusals.md"));
+    for (int i = 0; i < static_cast<int>(balance::SteeringReason::Count); ++i) {
+        const std::string name(toString(static_cast<balance::SteeringReason>(i)));
+        INFO(name);
+        CHECK(entries.contains(name));
+    }
+}
+
+// Guards against a kind of fault that writers of experiments do not find.
+TEST_CASE("each kind of fault is explained", "[OperatorPages]")
+{
+    const std::string text = readFile(sourceDirectory / "docs/EXPERIMENTS.md");
+    for (int i = 0; i < static_cast<int>(simulation::FaultKind::Count); ++i) {
+        const std::string name(toString(static_cast<simulation::FaultKind>(i)));
+        INFO(name);
+        CHECK(text.find("\n| `" + name + "` |") != std::string::npos);
+    }
+}
+
 // Guards against a counter without explanation.
 TEST_CASE("each event counter is explained", "[OperatorPages]")
 {
