--- a/tests/SimulatedFaults.cpp
+++ b/tests/SimulatedFaults.cpp
@@ -7,13 +7,6 @@
 using namespace bulrushgap::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-constexpr Duration faultAt = 3s;
-constexpr Duration faultDuration = 4s;
-
-} // namespace
-
 // Guards against a kind of trouble that breaks a promise, or from which service does not return.
 TEST_CASE("Each kind of fault keeps the promises and passes", "[SimulatedFaults]")
 {
--- a/tests/SimulatedRun.cpp
+++ b/tests/SimulatedRun.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr Duration faultAt = 3s;
-constexpr Duration faultDuration = 4s;
 constexpr double servedWithoutFault = 0.997;
 
 } // namespace
--- a/tests/support/SimulatedRuns.h
+++ b/tests/support/SimulatedRuns.h
@@ -11,6 +11,8 @@
 
 namespace bulrushgap::test {
 
+constexpr Duration faultAt = std::chrono::seconds(3);
+constexpr Duration faultDuration = std::chrono::seconds(4);
 constexpr double servedAfterFault = 0.99; //!< Share that is served once a fault is over.
 
 /** \returns the sample deployment with load for a while. */
