Copy view messages that their frame does not align before they are read

Change: MessageTable copies such a message. The new test in [ViewCodec], offsets 0 to 7, fails with sanitizers without it; with it [ViewCodec], [SourcedStore] and [ViewSources] pass there.

--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -3,6 +3,7 @@
 #include "view/view_generated.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <limits>
 #include <string>
 #include <utility>
@@ -161,14 +162,36 @@
     return !std::holds_alternative<MalformedObject>(value);
 }
 
-/** \returns the root table if the message is a valid one of this type, or nullptr. */
+/** \brief A message as the table of its type.
+ *
+ * FlatBuffers reads numbers in place, so a message that its frame does not align is copied.
+ */
 template <typename Table>
-const Table *verified(std::span<const std::byte> message)
+class MessageTable
 {
-    const auto *data = reinterpret_cast<const std::uint8_t *>(message.data());
-    flatbuffers::Verifier verifier(data, message.size());
-    return verifier.VerifyBuffer<Table>() ? flatbuffers::GetRoot<Table>(data) : nullptr;
-}
+public:
+    explicit MessageTable(std::span<const std::byte> message)
+    {
+        constexpr std::size_t alignment = alignof(std::uint64_t);
+        if (reinterpret_cast<std::uintptr_t>(message.data()) % alignment != 0) {
+            this->copy.assign(message.begin(), message.end());
+            message = this->copy;
+        }
+        const auto *data = reinterpret_cast<const std::uint8_t *>(message.data());
+        flatbuffers::Verifier verifier(data, message.size());
+        if (verifier.VerifyBuffer<Table>())
+            this->root = flatbuffers::GetRoot<Table>(data);
+    }
+    MessageTable(const MessageTable &) = delete;
+    MessageTable &operator=(const MessageTable &) = delete;
+
+    /** \returns the table, or nullptr if the message is not a valid one of this type. */
+    [[nodiscard]] const Table *get() const { return this->root; }
+
+private:
+    Bytes copy;
+    const Table *root = nullptr;
+};
 
 /** \brief Reads the objects of a message; isGood() is false once something does not fit. */
 class ObjectsReader
@@ -335,7 +358,8 @@
 
 std::optional<DecodedReply> decodeReply(ViewKind kind, std::span<const std::byte> message)
 {
-    const auto *reply = verified<viewwire::Reply>(message);
+    const MessageTable<viewwire::Reply> table(message);
+    const auto *reply = table.get();
     if (reply == nullptr)
         return std::nullopt;
     if (reply->result() > static_cast<std::uint8_t>(PlatformResult::LostAnswer))
@@ -361,7 +385,8 @@
 
 std::optional<ViewRequest> decodeRequest(std::span<const std::byte> message)
 {
-    const auto *wire = internal::verified<viewwire::Request>(message);
+    const internal::MessageTable<viewwire::Request> table(message);
+    const auto *wire = table.get();
     if (wire == nullptr || wire->kind() >= viewKindCount)
         return std::nullopt;
     ViewRequest request;
--- a/tests/ViewCodec.cpp
+++ b/tests/ViewCodec.cpp
@@ -162,3 +162,25 @@
     }
     CHECK(encodeList(ViewKind::Upstreams, list).size() < 100'000);
 }
+
+// Guards against reads of numbers that their frame does not align; fails with sanitizers only.
+TEST_CASE("A message decodes at any offset of its frame", "[ViewCodec]")
+{
+    const auto offset = GENERATE(range(std::size_t{0}, std::size_t{8}));
+    const ViewRequest request{ViewKind::Upstreams, 7, milliseconds(400)};
+    ViewList list{PlatformResult::Ok, 9, {}};
+    list.objects.push_back({"i-1", 5, upstreamEntry()});
+    const auto placed = [&](const Bytes &message) {
+        Bytes frame(offset);
+        frame.insert(frame.end(), message.begin(), message.end());
+        return frame;
+    };
+    const Bytes requestFrame = placed(encodeRequest(request));
+    const auto decoded = decodeRequest(std::span(requestFrame).subspan(offset));
+    REQUIRE(decoded);
+    CHECK(decoded->since == request.since);
+    const Bytes listFrame = placed(encodeList(ViewKind::Upstreams, list));
+    const auto objects = decodeList(ViewKind::Upstreams, std::span(listFrame).subspan(offset));
+    REQUIRE(objects);
+    CHECK(objects->objects.size() == 1);
+}
