--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -36,11 +36,6 @@
     return "upstream_alive";
 }
 
-std::int64_t toMilliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
 } // namespace internal
 
 Balancer::Balancer(BalancerOptions options, const Scheduler &scheduler, ObjectSource &store,
@@ -55,15 +50,9 @@
     , directory([this](const DirectoryChange &change) { this->logDirectoryChange(change); })
     , steering({this->options.self.domain, this->options.flowCapacity}, this->directory,
                this->routes, random, this->steeringHooks())
-    , sources(this->options.self.name, this->options.self.domain)
-    , sourcedStore(scheduler, store, this->sources, counters, log,
-                   {this->hooks.connectPeer,
-                    [this] {
-                        this->mirror.refusePending();
-                    }})
-    , mirror(
-          scheduler, [this] { return this->mayServeView(); },
-          [this](ViewKind kind) { return this->view.snapshot(kind); })
+    , sources(this->options.self, this->options.seeds, this->options.firstStart)
+    , sourcedStore(scheduler, store, this->sources, counters, log, this->sourceHooks())
+    , mirror(scheduler, this->mirrorHooks())
     , sweeper(scheduler, memberStore, this->options.self.name, counters, log, this->sweeperHooks())
     , view(scheduler, this->sourcedStore, random,
            {this->directory, this->routes, this->steering, this->sources, this->mirror,
@@ -101,6 +90,23 @@
     return result;
 }
 
+SourcedStoreHooks Balancer::sourceHooks()
+{
+    return {this->hooks.connectPeer, [this] { this->mirror.refusePendingDirect(); },
+            [this](Duration grace) {
+                this->directory.extendGrace(this->scheduler.now() + grace);
+            }};
+}
+
+ObjectMirrorHooks Balancer::mirrorHooks()
+{
+    return {[this](bool direct) { return this->mayServeView(direct); },
+            [this](ViewKind kind) { return this->view.snapshot(kind); },
+            [this] {
+                return this->freshness();
+            }};
+}
+
 MemberSweeperHooks Balancer::sweeperHooks()
 {
     return {[this](Endpoint peer, MemberSweeperHooks::CheckHandler handler) {
@@ -154,9 +160,9 @@
     if (std::exchange(this->stopping, true))
         return;
     this->log.info("stop", {{"flows", this->steering.flowCount()},
-                            {"delay_ms", internal::toMilliseconds(this->options.stopDelay)}});
+                            {"delay_ms", toMilliseconds(this->options.stopDelay)}});
     // The routers remove this instance after its next readiness checks; packets arrive until then.
-    this->mirror.refusePending();
+    this->mirror.refuseAllPending();
     this->stopTimer
         = this->scheduler.after(this->options.stopDelay, [this] { this->hooks.onStopped(); });
 }
@@ -229,6 +235,8 @@
                               {"version", this->routes.version()},
                               {"instances", this->sources.instances()},
                               {"direct", this->sourcedStore.isDirect() ? 1 : 0},
+                              {"source", this->sources.current().toString()},
+                              {"age_ms", toMilliseconds(this->sourcedStore.age())},
                               {"store_lists", this->counters.value("store_list")},
                               {"store_watches", this->counters.value("store_watch")},
                               {"store_writes", this->counters.value("store_write")},
@@ -255,7 +263,9 @@
     this->hooks.onReady(late);
     this->log.info("ready", {{"upstreams", this->directory.registeredCount()},
                              {"routes", this->routes.size()},
-                             {"version", this->routes.version()}});
+                             {"version", this->routes.version()},
+                             {"source", this->sources.current().toString()},
+                             {"age_ms", toMilliseconds(this->sourcedStore.age())}});
 }
 
 void Balancer::onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence)
@@ -268,7 +278,7 @@
                                        {"before", toString(before)},
                                        {"after", toString(changed.health.liveness())},
                                        {"evidence", evidence},
-                                       {"last_answer_ms", internal::toMilliseconds(silence)},
+                                       {"last_answer_ms", toMilliseconds(silence)},
                                        {"flows", changed.openFlows}});
 }
 
@@ -276,21 +286,30 @@
 {
     const Upstream &changed = this->directory.at(change.upstream);
     const UpstreamEntry &entry = changed.entry;
-    this->log.info("upstream_entry",
-                   {{"upstream", entry.name},
-                    {"change", toString(change.kind)},
-                    {"service", entry.service},
-                    {"domain", entry.domain},
-                    {"address", entry.address.toString()},
-                    {"revision", changed.revision},
-                    {"slow_start_ms", internal::toMilliseconds(entry.slowStart)}});
+    this->log.info("upstream_entry", {{"upstream", entry.name},
+                                      {"change", toString(change.kind)},
+                                      {"service", entry.service},
+                                      {"domain", entry.domain},
+                                      {"address", entry.address.toString()},
+                                      {"revision", changed.revision},
+                                      {"slow_start_ms", toMilliseconds(entry.slowStart)}});
 }
 
-bool Balancer::mayServeView()
+bool Balancer::mayServeView(bool direct)
 {
+    if (this->stopping)
+        return false;
+    if (!direct)
+        return this->sourcedStore.isConnected();
     if (!this->sources.followsStore())
-        this->sources.onPeerRequest(this->scheduler.now());
-    return !this->stopping && this->sourcedStore.isDirect() && this->view.isComplete();
+        this->sources.onDirectRequest(this->scheduler.now());
+    return this->sourcedStore.isDirect() && this->view.isComplete();
+}
+
+ReplyFreshness Balancer::freshness() const
+{
+    const Duration grace = this->directory.graceEnd() - this->scheduler.now();
+    return {this->sourcedStore.age(), std::max(grace, Duration::zero())};
 }
 
 } // namespace bulrushgap::balance
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -22,6 +22,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace bulrushgap::balance {
 
@@ -38,7 +39,7 @@
     std::function<void(const FlowPacket &flow)> resetCaller;
 
     /** \returns a client for the objects of another instance. */
-    std::function<std::unique_ptr<ObjectSource>(Endpoint peer)> connectPeer;
+    std::function<std::unique_ptr<ObjectSource>(const ViewSource &source)> connectPeer;
 
     /** The view is complete. \param late whether packets held until now are too old to forward. */
     std::function<void(bool late)> onReady;
@@ -85,6 +86,12 @@
     {
         return this->directory.at(index);
     }
+
+    /** \returns the number of upstreams of a service that may take new flows by their entries. */
+    [[nodiscard]] std::size_t usableUpstreams(std::string_view service) const
+    {
+        return this->directory.candidates(service).size();
+    }
     [[nodiscard]] ObjectMirror &objectMirror() { return this->mirror; }
     [[nodiscard]] const RouteTable &routeTable() const { return this->routes; }
 
@@ -96,6 +103,8 @@
 
 private:
     [[nodiscard]] SteeringHooks steeringHooks();
+    [[nodiscard]] SourcedStoreHooks sourceHooks();
+    [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
@@ -107,7 +116,8 @@
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
     void logDirectoryChange(const DirectoryChange &change);
-    [[nodiscard]] bool mayServeView();
+    [[nodiscard]] bool mayServeView(bool direct);
+    [[nodiscard]] ReplyFreshness freshness() const;
 
     BalancerOptions options;
     const Scheduler &scheduler;
--- a/src/balancer/BalancerOptions.h
+++ b/src/balancer/BalancerOptions.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "base/Endpoint.h"
 #include "base/Time.h"
 #include "view/Member.h"
 
 #include <cstddef>
+#include <vector>
 
 namespace bulrushgap::balance {
 
@@ -14,6 +16,7 @@
     std::size_t flowCapacity = 0; //!< Maximum number of tracked flows.
     Duration stopDelay{};         //!< Packets are forwarded for this long after a stop begins.
     bool firstStart = false;      //!< Whether the deployment starts for the first time.
+    std::vector<Endpoint> seeds;  //!< Peer addresses of instances that are asked at the start.
 };
 
 } // namespace bulrushgap::balance
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -45,7 +45,7 @@
 
 void UpstreamDirectory::registryRecovered(TimePoint now)
 {
-    this->graceEndsAt = now + internal::reregistrationGrace;
+    this->extendGrace(now + internal::reregistrationGrace);
 }
 
 void UpstreamDirectory::replaceAll(std::span<const RegistryEntry> entries, TimePoint now)
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -5,6 +5,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -60,6 +61,12 @@
      * during it stay usable, since live upstreams register again. */
     void registryRecovered(TimePoint now);
 
+    /** \brief Extends the grace period, which another instance has started. */
+    void extendGrace(TimePoint end) { this->graceEndsAt = std::max(this->graceEndsAt, end); }
+
+    /** \returns the end of the last grace period. */
+    [[nodiscard]] TimePoint graceEnd() const { return this->graceEndsAt; }
+
     /** \brief Replaces all entries. */
     void replaceAll(std::span<const RegistryEntry> entries, TimePoint now);
 
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -39,7 +39,8 @@
     return {{settings.name, settings.domain, settings.peerAddress, settings.linkMbps},
             settings.flowCapacity,
             settings.stopDelay,
-            settings.firstStart};
+            settings.firstStart,
+            settings.seeds};
 }
 
 } // namespace internal
@@ -81,8 +82,9 @@
     result.resetCaller = [this](const balance::FlowPacket &flow) {
         this->reset(flow);
     };
-    result.connectPeer = [this](Endpoint peer) {
-        return std::make_unique<PeerViewClient>(this->context, peer, this->counters);
+    result.connectPeer = [this](const balance::ViewSource &source) {
+        return std::make_unique<PeerViewClient>(this->context, source.peer.value(), this->counters,
+                                                PeerReadOptions::of(source));
     };
     result.onReady = [this](bool discardReceived) {
         this->packetPort.startReading(discardReceived);
--- a/src/role/PeerViewClient.cpp
+++ b/src/role/PeerViewClient.cpp
@@ -19,11 +19,14 @@
 
 using std::chrono::milliseconds;
 
+/** Below the idle timeout, so that a refusal arrives before the connection is abandoned. */
+constexpr milliseconds listWait{400};
+
 /** \brief One connection and its pending calls; not used again once it has failed. */
 struct PeerViewConnection : std::enable_shared_from_this<PeerViewConnection>
 {
     /** Receives the response to a call, or nothing if the connection has failed. */
-    using ReplyHandler = std::function<void(std::optional<std::span<const std::byte>> message)>;
+    using ReplyHandler = std::function<void(const std::optional<ViewFrame> &reply)>;
 
     struct Call
     {
@@ -61,7 +64,7 @@
     void send(const Bytes &message, milliseconds timeout, Call call)
     {
         const std::uint32_t requestId = ++this->lastRequestId;
-        const Bytes frame = ViewFrame{requestId, message}.toBytes();
+        const Bytes frame = ViewFrame{requestId, {}, message}.toBytes();
         this->output.insert(this->output.end(), frame.begin(), frame.end());
         call.deadline = std::chrono::steady_clock::now() + timeout;
         this->calls.emplace(requestId, std::move(call));
@@ -158,7 +161,7 @@
             return this->fail();
         const ReplyHandler onReply = std::move(found->second.onReply);
         this->calls.erase(found);
-        onReply(frame->message);
+        onReply(frame);
     }
 
     void armCallTimer()
@@ -196,11 +199,17 @@
 
 } // namespace internal
 
+PeerReadOptions PeerReadOptions::of(const balance::ViewSource &source)
+{
+    return {source.direct, source.mayWait ? internal::listWait : internal::milliseconds(0)};
+}
+
 PeerViewClient::PeerViewClient(boost::asio::io_context &context, Endpoint peer, Counters &counters,
-                               PeerViewTimeouts timeouts)
+                               PeerReadOptions options, PeerViewTimeouts timeouts)
     : context(context)
     , peer(peer)
     , counters(counters)
+    , options(options)
     , timeouts(timeouts)
 {}
 
@@ -228,12 +237,15 @@
 void PeerViewClient::list(balance::ViewKind kind, ListHandler handler)
 {
     this->counters.add("peer_list");
-    this->connection().send(balance::encodeRequest({kind, std::nullopt, {}}),
-                            this->timeouts.idleTimeout,
-                            {[kind, handler = std::move(handler)](auto message) {
+    const balance::ViewRequest request{kind, std::nullopt, this->options.listWait,
+                                       this->options.direct};
+    this->connection().send(balance::encodeRequest(request), this->timeouts.idleTimeout,
+                            {[kind, handler = std::move(handler)](const auto &reply) {
                                  std::optional<balance::ViewList> list;
-                                 if (message)
-                                     list = balance::decodeList(kind, *message);
+                                 if (reply)
+                                     list = balance::decodeList(kind, reply->message);
+                                 if (list)
+                                     list->freshness = reply->freshness;
                                  handler(std::move(list).value_or(balance::ViewList{}));
                              },
                              false,
@@ -245,12 +257,14 @@
                               std::chrono::milliseconds wait, WatchHandler handler)
 {
     this->counters.add("peer_watch");
-    this->connection().send(balance::encodeRequest({kind, since, wait}),
-                            wait + this->timeouts.watchMargin,
-                            {[kind, handler = std::move(handler)](auto message) {
+    const balance::ViewRequest request{kind, since, wait, this->options.direct};
+    this->connection().send(balance::encodeRequest(request), wait + this->timeouts.watchMargin,
+                            {[kind, handler = std::move(handler)](const auto &reply) {
                                  std::optional<balance::ViewEvents> events;
-                                 if (message)
-                                     events = balance::decodeEvents(kind, *message);
+                                 if (reply)
+                                     events = balance::decodeEvents(kind, reply->message);
+                                 if (events)
+                                     events->freshness = reply->freshness;
                                  handler(std::move(events).value_or(balance::ViewEvents{}));
                              },
                              true,
--- a/src/role/PeerViewClient.h
+++ b/src/role/PeerViewClient.h
@@ -3,6 +3,7 @@
 #include "base/Counters.h"
 #include "base/Endpoint.h"
 #include "view/ObjectSource.h"
+#include "view/ViewSource.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -18,6 +19,16 @@
     std::chrono::milliseconds watchMargin{300}; //!< Time past its wait after which a watch fails.
 };
 
+/** \brief What is required of the other instance. */
+struct PeerReadOptions
+{
+    /** \returns the options for a source of the view. */
+    [[nodiscard]] static PeerReadOptions of(const balance::ViewSource &source);
+
+    bool direct = false;                   //!< It must read from the store itself.
+    std::chrono::milliseconds listWait{0}; //!< Longest time that it may take to read its view.
+};
+
 namespace internal {
 struct PeerViewConnection;
 }
@@ -31,7 +42,7 @@
 {
 public:
     PeerViewClient(boost::asio::io_context &context, Endpoint peer, Counters &counters,
-                   PeerViewTimeouts timeouts = {});
+                   PeerReadOptions options = {}, PeerViewTimeouts timeouts = {});
     ~PeerViewClient() override;
 
     void list(balance::ViewKind kind, ListHandler handler) override;
@@ -45,6 +56,7 @@
     boost::asio::io_context &context;
     Endpoint peer;
     Counters &counters;
+    PeerReadOptions options;
     PeerViewTimeouts timeouts;
     std::shared_ptr<internal::PeerViewConnection> activeConnection;
 };
--- a/src/role/PeerViewServer.cpp
+++ b/src/role/PeerViewServer.cpp
@@ -171,9 +171,9 @@
                 self->send(requestId, self->server.cache.encode(kind, answer));
         };
         if (request->since)
-            this->server.mirror.watch(request->kind, *request->since, request->wait, respond);
+            this->server.mirror.watch(*request, respond);
         else
-            this->server.mirror.list(request->kind, respond);
+            this->server.mirror.list(*request, respond);
     }
 
     void refuse()
@@ -188,7 +188,8 @@
             this->server.counters.add("peer_view_slow_reader");
             return this->disconnect();
         }
-        const Bytes frame = ViewFrame{requestId, *message}.toBytes();
+        const Bytes frame
+            = ViewFrame{requestId, this->server.mirror.freshness(), *message}.toBytes();
         this->output.insert(this->output.end(), frame.begin(), frame.end());
         this->write();
     }
--- a/src/service/BalancerSettings.cpp
+++ b/src/service/BalancerSettings.cpp
@@ -9,17 +9,18 @@
 constexpr std::int64_t maxStopDelayMs = 60'000;
 
 // clang-format off
-constexpr std::array<Field, 11> balancerFields{{
+constexpr std::array<Field, 12> balancerFields{{
     {"name", FieldType::Name, "", "", 1, 128, "", "name of the instance, unique in the deployment"},
     {"domain", FieldType::Name, "", "", 1, 128, "", "failure domain of the instance"},
     {"packetAddress", FieldType::Endpoint, "", "", 0, 0, "", "UDP, packets of callers; packets to callers go to its port"},
     {"readyAddress", FieldType::Endpoint, "", "", 0, 0, "", "TCP, readiness and metrics"},
     {"peerAddress", FieldType::Endpoint, "", "", 0, 0, "", "UDP and TCP, messages between instances"},
     {"store", FieldType::Endpoint, "", "", 0, 0, "", "the platform's metadata store"},
+    {"seeds", FieldType::EndpointList, "", "[]", 0, 64, "", "peer addresses of instances that are asked for the view at the start"},
     {"limits.flows", FieldType::Integer, "flows", "100000", 1'024, 16'777'216, "", "flows tracked at most, about 100 bytes each"},
     {"limits.logLinesPerSecond", FieldType::Integer, "lines/s", "40", 1, 10'000, "", "log lines of one event"},
     {"timers.stopDelayMs", FieldType::Integer, "ms", "1500", 0, maxStopDelayMs, "", "from SIGTERM to the end; packets are still passed on"},
-    {"linkMbps", FieldType::Number, "Mbit/s", "0", 0, 1'000'000, "", "link rate; instances with more follow the store for others"},
+    {"linkMbps", FieldType::Number, "Mbit/s", "0", 0, 1'000'000, "", "link rate; instances with more are read by others first"},
     {"firstStart", FieldType::Flag, "", "false", 0, 0, "", "the whole deployment starts for the first time"},
 }};
 // clang-format on
@@ -33,6 +34,7 @@
     settings.readyAddress = view.endpoint("readyAddress");
     settings.peerAddress = view.endpoint("peerAddress");
     settings.store = view.endpoint("store");
+    settings.seeds = view.endpoints("seeds");
     settings.flowCapacity = static_cast<std::uint32_t>(view.integer("limits.flows"));
     settings.logLinesPerSecond
         = static_cast<std::uint32_t>(view.integer("limits.logLinesPerSecond"));
--- a/src/service/BalancerSettings.h
+++ b/src/service/BalancerSettings.h
@@ -22,6 +22,7 @@
     Endpoint readyAddress;
     Endpoint peerAddress;
     Endpoint store;
+    std::vector<Endpoint> seeds; //!< Peer addresses that are asked for the view at the start.
     std::uint32_t flowCapacity = 0;
     std::uint32_t logLinesPerSecond = 0;
     Duration stopDelay{};
--- a/src/simulation/Run.cpp
+++ b/src/simulation/Run.cpp
@@ -15,6 +15,12 @@
 constexpr Duration afterTraffic = std::chrono::seconds(4); //!< For the last answers.
 constexpr double recoveredShare = 0.25;
 constexpr std::int64_t recoveryWindow = 5; //!< In seconds.
+constexpr std::size_t maxSeeds = 3;
+
+Endpoint peerAddress(std::size_t instance)
+{
+    return {instanceNetwork + static_cast<std::uint32_t>(instance), instancePort};
+}
 
 } // namespace internal
 
@@ -38,18 +44,26 @@
     this->addCallers();
 }
 
+std::vector<Endpoint> Run::seeds() const
+{
+    std::vector<Endpoint> result;
+    const std::size_t count = std::min(this->settings.domains.size(), internal::maxSeeds);
+    for (std::size_t domain = 1; domain <= count; ++domain)
+        result.push_back(internal::peerAddress(domain * this->settings.instancesPerDomain - 1));
+    return result;
+}
+
 void Run::addInstances()
 {
+    const std::vector<Endpoint> known = this->seeds();
     for (const std::string &domain : this->settings.domains) {
         for (unsigned number = 1; number <= this->settings.instancesPerDomain; ++number) {
             const std::size_t index = this->instances.size();
-            const Endpoint peer{internal::instanceNetwork + static_cast<std::uint32_t>(index),
-                                internal::instancePort};
             this->instances.push_back(std::make_unique<SimulatedInstance>(
                 this->surroundings,
-                balance::Member{domain + '-' + std::to_string(number), domain, peer,
-                                internal::instanceLinkRate},
-                this->instanceHooks()));
+                balance::Member{domain + '-' + std::to_string(number), domain,
+                                internal::peerAddress(index), internal::instanceLinkRate},
+                known, this->instanceHooks()));
             this->fabric.add(index, domain);
         }
     }
--- a/src/simulation/Run.h
+++ b/src/simulation/Run.h
@@ -52,6 +52,8 @@
         friend auto operator<=>(const FlowKey &, const FlowKey &) = default;
     };
 
+    /** \returns what the platform tells a starting instance: the last instance of some domains. */
+    [[nodiscard]] std::vector<Endpoint> seeds() const;
     void addInstances();
     void addUpstreams();
     void addCallers();
--- a/src/simulation/SimulatedInstance.cpp
+++ b/src/simulation/SimulatedInstance.cpp
@@ -11,6 +11,7 @@
 namespace internal {
 
 constexpr Duration simulatedProbeTimeout = std::chrono::milliseconds(110);
+constexpr std::chrono::milliseconds peerListWait{400};
 constexpr Duration peerSilence = std::chrono::milliseconds(700);
 constexpr Duration peerWatchMargin = std::chrono::milliseconds(300);
 constexpr Duration simulatedStopDelay = std::chrono::milliseconds(1'500);
@@ -25,21 +26,29 @@
 public:
     using Find = std::function<SimulatedInstance *()>;
 
-    SimulatedPeer(Surroundings &surroundings, CallEnds ends, Find find)
+    SimulatedPeer(Surroundings &surroundings, CallEnds ends, const balance::ViewSource &source,
+                  Counters &counters, Find find)
         : surroundings(surroundings)
         , ends(std::move(ends))
+        , direct(source.direct)
+        , listWait(source.mayWait ? peerListWait : std::chrono::milliseconds(0))
+        , counters(counters)
         , find(std::move(find))
     {}
 
     void list(ViewKind kind, ListHandler handler) override
     {
+        this->counters.add("peer_list");
+        const balance::ViewRequest request{kind, std::nullopt, this->listWait, this->direct};
         RemoteCall<ViewList>::send(
             this->surroundings, this->ends, peerSilence, this->alive, std::move(handler),
-            [find = this->find, kind](auto respond) {
-                onPeer(find, [kind, respond](balance::ObjectMirror &mirror) {
-                    mirror.list(kind, [kind, respond](const auto &list) {
+            [find = this->find, request](auto respond) {
+                onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
+                    mirror.list(request, [&mirror, kind = request.kind, respond](const auto &list) {
                         const Bytes message = balance::encodeList(kind, *list);
-                        respond(balance::decodeList(kind, message).value_or(ViewList{}));
+                        ViewList reply = balance::decodeList(kind, message).value_or(ViewList{});
+                        reply.freshness = mirror.freshness();
+                        respond(std::move(reply));
                     });
                 });
             });
@@ -48,14 +57,20 @@
     void watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
                   WatchHandler handler) override
     {
+        this->counters.add("peer_watch");
+        const balance::ViewRequest request{kind, since, wait, this->direct};
         RemoteCall<ViewEvents>::send(
             this->surroundings, this->ends, wait + peerWatchMargin, this->watchesAlive,
-            std::move(handler), [find = this->find, kind, since, wait](auto respond) {
-                onPeer(find, [kind, since, wait, respond](balance::ObjectMirror &mirror) {
-                    mirror.watch(kind, since, wait, [kind, respond](const auto &events) {
-                        const Bytes message = balance::encodeEvents(kind, *events);
-                        respond(balance::decodeEvents(kind, message).value_or(ViewEvents{}));
-                    });
+            std::move(handler), [find = this->find, request](auto respond) {
+                onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
+                    mirror.watch(
+                        request, [&mirror, kind = request.kind, respond](const auto &events) {
+                            const Bytes message = balance::encodeEvents(kind, *events);
+                            ViewEvents reply
+                                = balance::decodeEvents(kind, message).value_or(ViewEvents{});
+                            reply.freshness = mirror.freshness();
+                            respond(std::move(reply));
+                        });
                 });
             });
     }
@@ -78,6 +93,9 @@
 
     Surroundings &surroundings;
     CallEnds ends;
+    bool direct;
+    std::chrono::milliseconds listWait;
+    Counters &counters;
     Find find;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::shared_ptr<bool> watchesAlive = std::make_shared<bool>(true);
@@ -124,9 +142,10 @@
 };
 
 SimulatedInstance::SimulatedInstance(Surroundings &surroundings, balance::Member member,
-                                     SimulatedInstanceHooks hooks)
+                                     std::vector<Endpoint> seeds, SimulatedInstanceHooks hooks)
     : surroundings(surroundings)
     , self(std::move(member))
+    , seeds(std::move(seeds))
     , hooks(std::move(hooks))
 {}
 
@@ -137,7 +156,7 @@
     this->kill();
     this->process = std::make_unique<Process>(
         *this, balance::BalancerOptions{this->self, internal::simulatedFlowCapacity,
-                                        internal::simulatedStopDelay, firstStart});
+                                        internal::simulatedStopDelay, firstStart, this->seeds});
     this->process->balancer.start();
 }
 
@@ -176,6 +195,11 @@
     return this->process ? &this->process->balancer.objectMirror() : nullptr;
 }
 
+std::size_t SimulatedInstance::usableUpstreams(std::string_view service) const
+{
+    return this->process ? this->process->balancer.usableUpstreams(service) : 0;
+}
+
 std::uint64_t SimulatedInstance::counter(std::string_view name) const
 {
     return this->process ? this->process->counters.value(name) : 0;
@@ -233,7 +257,9 @@
         const platform::ResetBytes bytes = platform::encodeReset(flow);
         this->hooks.toCaller(*this, {bytes.begin(), bytes.end()});
     };
-    result.connectPeer = [this](Endpoint peer) -> std::unique_ptr<balance::ObjectSource> {
+    result.connectPeer
+        = [this](const balance::ViewSource &source) -> std::unique_ptr<balance::ObjectSource> {
+        const Endpoint peer = source.peer.value();
         const SimulatedInstance *target = this->hooks.findPeer(peer);
         const Place to = target == nullptr ? Place{Place::Role::Instance, "nowhere", "nobody"}
                                            : target->place();
@@ -243,7 +269,7 @@
                      [this](std::function<void()> task) {
                          this->post(std::move(task));
                      }},
-            [this, peer] { return this->hooks.findPeer(peer); });
+            source, this->process->counters, [this, peer] { return this->hooks.findPeer(peer); });
     };
     result.onReady = [this](bool late) {
         this->reading = true;
--- a/src/simulation/SimulatedInstance.h
+++ b/src/simulation/SimulatedInstance.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace bulrushgap::simulation {
@@ -47,7 +48,7 @@
 {
 public:
     SimulatedInstance(Surroundings &surroundings, balance::Member member,
-                      SimulatedInstanceHooks hooks);
+                      std::vector<Endpoint> seeds, SimulatedInstanceHooks hooks);
     ~SimulatedInstance();
     SimulatedInstance(const SimulatedInstance &) = delete;
     SimulatedInstance &operator=(const SimulatedInstance &) = delete;
@@ -82,6 +83,9 @@
     /** \brief Runs \a task now, or when the process runs again; drops it if the process ends. */
     void post(std::function<void()> task);
 
+    /** \returns the number of upstreams of a service that may take new flows; 0 if not running. */
+    [[nodiscard]] std::size_t usableUpstreams(std::string_view service) const;
+
     [[nodiscard]] std::uint64_t counter(std::string_view name) const;
 
 private:
@@ -99,6 +103,7 @@
 
     Surroundings &surroundings;
     balance::Member self;
+    std::vector<Endpoint> seeds;
     SimulatedInstanceHooks hooks;
     std::unique_ptr<Process> process;
     std::uint64_t processNumber = 0; //!< Tells a new process from an earlier one.
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/Time.h"
+
 #include <boost/json/value.hpp>
 
 #include <cstdint>
@@ -26,6 +28,13 @@
 
 [[nodiscard]] std::string_view toString(PlatformResult result);
 
+/** \brief How current a reply is; that of the platform itself is current. */
+struct ReplyFreshness
+{
+    Duration age{};           //!< Since the platform confirmed the data.
+    Duration registryGrace{}; //!< How long entries missing from the registry stay usable.
+};
+
 template <typename Value>
 struct BasicStoredObject
 {
@@ -40,6 +49,7 @@
     PlatformResult result = PlatformResult::Unavailable;
     std::uint64_t revision = 0;
     std::vector<BasicStoredObject<Value>> objects;
+    ReplyFreshness freshness{};
 };
 
 template <typename Value>
@@ -56,6 +66,7 @@
     PlatformResult result = PlatformResult::Unavailable;
     std::uint64_t revision = 0;
     std::vector<BasicWatchEvent<Value>> events;
+    ReplyFreshness freshness{};
 };
 
 /** \brief Objects that can be listed and watched; handlers are called asynchronously.
--- a/src/store/ObjectWatch.h
+++ b/src/store/ObjectWatch.h
@@ -138,8 +138,11 @@
     for (auto &object : outcome.objects)
         update.events.push_back({std::move(object.key), object.version, std::move(object.value)});
     this->revision = outcome.revision;
-    this->poll();
+    // The update may change the source of the watch that follows, or end this object.
+    const auto stillAlive = this->alive;
     this->onUpdate(update);
+    if (*stillAlive)
+        this->poll();
 }
 
 template <typename Key, typename Value>
--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -14,36 +14,66 @@
 
 ObjectMirror::EventsPtr emptyEvents(PlatformResult result, std::uint64_t revision = 0)
 {
-    return std::make_shared<const ViewEvents>(ViewEvents{result, revision, {}});
+    return std::make_shared<const ViewEvents>(ViewEvents{result, revision, {}, {}});
+}
+
+ObjectMirror::ListPtr busyList()
+{
+    return std::make_shared<const ViewList>(ViewList{PlatformResult::Busy, 0, {}, {}});
 }
 
 } // namespace internal
 
-ObjectMirror::ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect, Snapshot snapshot)
+ObjectMirror::ObjectMirror(const Scheduler &scheduler, ObjectMirrorHooks hooks)
     : scheduler(scheduler)
-    , isDirect(std::move(isDirect))
-    , snapshot(std::move(snapshot))
+    , hooks(std::move(hooks))
 {}
 
-void ObjectMirror::list(ViewKind kind, const ListResponder &respond)
+void ObjectMirror::list(const ViewRequest &request, const ListResponder &respond)
 {
-    KindState &state = this->stateOf(kind);
-    if (!this->isDirect() || !state.loaded) {
-        respond(std::make_shared<const ViewList>(ViewList{PlatformResult::Busy, 0, {}}));
+    KindState &state = this->stateOf(request.kind);
+    if (!state.loaded && !request.direct && request.wait > Duration::zero()) {
+        this->addPendingList(state, request, respond);
+        return;
+    }
+    if (!this->hooks.mayServe(request.direct) || !state.loaded) {
+        respond(internal::busyList());
         return;
     }
     if (!state.cachedList) {
         state.cachedList = std::make_shared<const ViewList>(
-            ViewList{PlatformResult::Ok, state.revision, this->snapshot(kind)});
+            ViewList{PlatformResult::Ok, state.revision, this->hooks.snapshot(request.kind), {}});
     }
     respond(state.cachedList);
 }
 
-void ObjectMirror::watch(ViewKind kind, std::uint64_t since, Duration wait,
-                         const EventsResponder &respond)
+void ObjectMirror::addPendingList(KindState &state, const ViewRequest &request,
+                                  const ListResponder &respond)
 {
-    KindState &state = this->stateOf(kind);
-    if (!this->isDirect() || !state.loaded) {
+    const auto pending = std::make_shared<PendingList>(PendingList{request, respond, {}});
+    state.pendingLists.push_back(pending);
+    pending->timer = this->scheduler.after(request.wait, [&state, list = std::weak_ptr(pending)] {
+        const auto expired = list.lock();
+        if (!expired)
+            return;
+        state.pendingLists.remove(expired);
+        expired->respond(internal::busyList());
+    });
+}
+
+void ObjectMirror::answerPendingLists(KindState &state)
+{
+    for (const PendingListPtr &list : std::exchange(state.pendingLists, {})) {
+        list->timer.reset();
+        this->list(list->request, list->respond);
+    }
+}
+
+void ObjectMirror::watch(const ViewRequest &request, const EventsResponder &respond)
+{
+    KindState &state = this->stateOf(request.kind);
+    const std::uint64_t since = request.since.value_or(0);
+    if (!this->hooks.mayServe(request.direct) || !state.loaded) {
         respond(internal::emptyEvents(PlatformResult::Busy));
         return;
     }
@@ -57,13 +87,15 @@
     }
     const auto pending = std::make_shared<PendingWatch>();
     pending->since = since;
+    pending->direct = request.direct;
     pending->respond = respond;
     state.pending.push_back(pending);
-    pending->timer = this->scheduler.after(std::min(wait, internal::maxMirrorWait),
-                                           [this, &state, watch = std::weak_ptr(pending)] {
-                                               if (const auto ended = watch.lock())
-                                                   this->onWaitExpired(state, ended);
-                                           });
+    pending->timer
+        = this->scheduler.after(std::min<Duration>(request.wait, internal::maxMirrorWait),
+                                [this, &state, watch = std::weak_ptr(pending)] {
+                                    if (const auto ended = watch.lock())
+                                        this->onWaitExpired(state, ended);
+                                });
 }
 
 void ObjectMirror::onWaitExpired(KindState &state, const PendingWatchPtr &pending)
@@ -77,7 +109,7 @@
 {
     if (state.cachedEvents && state.cachedSince == since)
         return state.cachedEvents;
-    ViewEvents events{PlatformResult::Ok, std::max(state.revision, since), {}};
+    ViewEvents events{PlatformResult::Ok, std::max(state.revision, since), {}, {}};
     for (const Change &change : state.history) {
         if (change.revision > since)
             events.events.push_back(change.event);
@@ -102,7 +134,8 @@
         for (const ViewEvent &event : update.events)
             appendChange(state, event, update.revision);
     }
-    this->answerPending(state);
+    this->answerPendingLists(state);
+    this->answerPendingWatches(state);
 }
 
 void ObjectMirror::appendChange(KindState &state, const ViewEvent &event, std::uint64_t revision)
@@ -114,7 +147,7 @@
     }
 }
 
-void ObjectMirror::answerPending(KindState &state)
+void ObjectMirror::answerPendingWatches(KindState &state)
 {
     const auto pending = std::exchange(state.pending, {});
     for (const PendingWatchPtr &watch : pending) {
@@ -130,9 +163,27 @@
     }
 }
 
-void ObjectMirror::refusePending()
+void ObjectMirror::refusePendingDirect()
+{
+    for (KindState &state : this->states) {
+        for (const PendingWatchPtr &watch : std::exchange(state.pending, {})) {
+            if (!watch->direct) {
+                state.pending.push_back(watch);
+                continue;
+            }
+            watch->timer.reset();
+            watch->respond(internal::emptyEvents(PlatformResult::Busy));
+        }
+    }
+}
+
+void ObjectMirror::refuseAllPending()
 {
     for (KindState &state : this->states) {
+        for (const PendingListPtr &list : std::exchange(state.pendingLists, {})) {
+            list->timer.reset();
+            list->respond(internal::busyList());
+        }
         for (const PendingWatchPtr &watch : std::exchange(state.pending, {})) {
             watch->timer.reset();
             watch->respond(internal::emptyEvents(PlatformResult::Busy));
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -2,6 +2,7 @@
 
 #include "base/Scheduler.h"
 #include "view/ViewObject.h"
+#include "view/ViewRequest.h"
 
 #include <array>
 #include <cstdint>
@@ -13,11 +14,24 @@
 
 namespace bulrushgap::balance {
 
+struct ObjectMirrorHooks
+{
+    /** \returns whether the view may be served; \a direct requires that it was read from the store,
+     * and tells this instance that another one requires it. */
+    std::function<bool(bool direct)> mayServe;
+
+    /** \returns all objects of a kind in this instance's view. */
+    std::function<std::vector<ViewItem>(ViewKind kind)> snapshot;
+
+    /** \returns how current the view is. */
+    std::function<ReplyFreshness()> freshness;
+};
+
 /** \brief Serves lists and watches of other instances from this instance's view, like the store.
  *
- * Replies with Busy unless this instance reads from the store itself. Each request calls the
- * DirectCheck, which thereby learns that another instance reads from this one. Replies are cached
- * and shared between requests.
+ * Replies with Busy if the view may not be served. A list that arrives before the view was read
+ * waits for it, so that many instances that start together pass the view on as it arrives. Replies
+ * are cached and shared between requests.
  */
 class ObjectMirror
 {
@@ -27,27 +41,34 @@
     using ListResponder = std::function<void(ListPtr list)>;
     using EventsResponder = std::function<void(EventsPtr events)>;
 
-    /** \returns whether this instance reads from the store itself and the store responds. */
-    using DirectCheck = std::function<bool()>;
-
-    /** \returns all objects of a kind in this instance's view. */
-    using Snapshot = std::function<std::vector<ViewItem>(ViewKind kind)>;
-
-    ObjectMirror(const Scheduler &scheduler, DirectCheck isDirect, Snapshot snapshot);
-    ~ObjectMirror() { this->refusePending(); }
+    ObjectMirror(const Scheduler &scheduler, ObjectMirrorHooks hooks);
+    ~ObjectMirror() { this->refuseAllPending(); }
     ObjectMirror(const ObjectMirror &) = delete;
     ObjectMirror &operator=(const ObjectMirror &) = delete;
 
-    void list(ViewKind kind, const ListResponder &respond);
+    /** \brief Replies with all objects, at once or after at most the wait of the request. */
+    void list(const ViewRequest &request, const ListResponder &respond);
 
-    /** \brief Replies at the first change after \a since, or without changes after \a wait. */
-    void watch(ViewKind kind, std::uint64_t since, Duration wait, const EventsResponder &respond);
+    /** \brief Replies at the first change after the request's revision, or after its wait. */
+    void watch(const ViewRequest &request, const EventsResponder &respond);
 
-    /** \brief Answers pending watches with an update of \a kind, which the snapshot already has. */
+    /** \brief Answers pending requests with an update of \a kind, which the snapshot already has.
+     */
     void apply(ViewKind kind, const ViewUpdate &update);
 
-    /** \brief Replies with Busy to all pending watches, when the store can no longer be read. */
-    void refusePending();
+    /** \brief Replies with Busy to pending watches that require a view from the store. */
+    void refusePendingDirect();
+
+    /** \brief Replies with Busy to all pending requests. */
+    void refuseAllPending();
+
+    /** \returns whether an update of \a kind has been applied. */
+    [[nodiscard]] bool isLoaded(ViewKind kind) const
+    {
+        return this->states.at(static_cast<std::size_t>(kind)).loaded;
+    }
+
+    [[nodiscard]] ReplyFreshness freshness() const { return this->hooks.freshness(); }
 
 private:
     struct Change
@@ -59,11 +80,21 @@
     struct PendingWatch
     {
         std::uint64_t since = 0;
+        bool direct = false;
         EventsResponder respond;
         Scheduler::Timer timer;
     };
     using PendingWatchPtr = std::shared_ptr<PendingWatch>;
 
+    /** \brief A list that waits until the view has been read. */
+    struct PendingList
+    {
+        ViewRequest request;
+        ListResponder respond;
+        Scheduler::Timer timer;
+    };
+    using PendingListPtr = std::shared_ptr<PendingList>;
+
     struct KindState
     {
         bool loaded = false;
@@ -71,6 +102,7 @@
         std::uint64_t historyStart = 0; //!< Changes after this revision are in the history.
         std::deque<Change> history;
         std::list<PendingWatchPtr> pending;
+        std::list<PendingListPtr> pendingLists;
         ListPtr cachedList;     //!< Reply for the current revision, or null.
         EventsPtr cachedEvents; //!< Reply for cachedSince and the current revision, or null.
         std::uint64_t cachedSince = 0;
@@ -81,13 +113,14 @@
         return this->states.at(static_cast<std::size_t>(kind));
     }
     static void appendChange(KindState &state, const ViewEvent &event, std::uint64_t revision);
-    void answerPending(KindState &state);
+    void addPendingList(KindState &state, const ViewRequest &request, const ListResponder &respond);
+    void answerPendingLists(KindState &state);
+    void answerPendingWatches(KindState &state);
     void onWaitExpired(KindState &state, const PendingWatchPtr &pending);
     [[nodiscard]] static EventsPtr changesSince(KindState &state, std::uint64_t since);
 
     const Scheduler &scheduler;
-    DirectCheck isDirect;
-    Snapshot snapshot;
+    ObjectMirrorHooks hooks;
     std::array<KindState, viewKindCount> states;
 };
 
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -19,18 +19,18 @@
 /** Bounds the delay of changes when a connection stops responding without an error. */
 constexpr milliseconds defaultWait{3'000};
 
-/** Configuration watch at another instance, which also serves as liveness check of that one. */
+/** Configuration watch, which also serves as liveness check of the source. */
 constexpr milliseconds peerConfigurationWait{700};
+constexpr milliseconds storeConfigurationWait{1'000};
 
-/** Time for another instance to start reading from the store after its first request. */
-constexpr milliseconds busyGracePeriod{200};
+/** A starting instance prefers sources whose view the store has confirmed this recently: an older
+ * one may have upstreams that have left, or routes that were removed. */
+constexpr Duration maxStartAge = std::chrono::seconds(3);
 
-constexpr milliseconds memberWait{15'000};
+/** Time after which a starting instance takes any view: it then knows of no better one. */
+constexpr Duration startAgeTimeout = milliseconds(1'500);
 
-std::string sourceName(std::optional<Endpoint> source)
-{
-    return source ? source->toString() : "store";
-}
+constexpr milliseconds memberWait{15'000};
 
 bool isAnswer(PlatformResult result)
 {
@@ -47,29 +47,81 @@
     , counters(counters)
     , log(log)
     , hooks(std::move(hooks))
+    , startedAt(scheduler.now())
 {}
 
-ObjectSource &SourcedStore::clientFor(std::optional<Endpoint> source)
+ObjectSource &SourcedStore::clientFor(const ViewSource &source)
 {
-    if (!source)
+    if (source.isStore())
         return this->store;
-    auto &peer = this->peers[*source];
+    auto &peer = this->peers[source];
     if (!peer)
-        peer = this->hooks.connectPeer(*source);
+        peer = this->hooks.connectPeer(source);
     return *peer;
 }
 
+bool SourcedStore::isConnected() const
+{
+    if (this->verified)
+        return true;
+    return this->lostAt
+           && this->scheduler.now() - *this->lostAt < this->sources.sourceLossGracePeriod();
+}
+
+Duration SourcedStore::age() const
+{
+    return this->scheduler.now() - this->confirmedAt.value_or(this->startedAt);
+}
+
 void SourcedStore::list(ViewKind kind, ListHandler handler)
 {
+    if (this->sources.isStarting()) {
+        this->listAtStart(kind, std::move(handler));
+        return;
+    }
     this->sources.retryPreferred(this->scheduler.now());
     const auto source = this->sources.current();
     this->clientFor(source).list(kind,
                                  [this, source, handler = std::move(handler)](ViewList outcome) {
-                                     this->onResult(source, outcome.result);
+                                     this->onResult(source, outcome.result, outcome.freshness);
                                      handler(std::move(outcome));
                                  });
 }
 
+void SourcedStore::listAtStart(ViewKind kind, ListHandler handler)
+{
+    HedgedList::Hooks listHooks;
+    listHooks.isResponding = [this](const ViewSource &source) {
+        return this->startSources.contains(source);
+    };
+    listHooks.send = [this, kind](const ViewSource &source, const ListHandler &onList) {
+        this->clientFor(source).list(kind, [this, source, onList](ViewList outcome) {
+            if (this->isTooOldForStart(outcome.freshness)) {
+                this->counters.add("source_too_old");
+                outcome = ViewList{};
+            }
+            if (outcome.result == PlatformResult::Ok)
+                this->onStartAnswer(source, outcome.freshness);
+            onList(std::move(outcome));
+        });
+    };
+    HedgedList::start(this->scheduler, this->sources.startPlan(), std::move(listHooks),
+                      std::move(handler));
+}
+
+void SourcedStore::onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness)
+{
+    this->startSources.insert(source);
+    this->sources.onStartAnswer(source);
+    if (source == this->sources.current()) {
+        this->onAnswer(source, freshness);
+        return;
+    }
+    this->noteFreshness(source, freshness);
+    // The view may be passed on until the preferred source has answered or failed.
+    this->lostAt = this->scheduler.now();
+}
+
 void SourcedStore::watch(ViewKind kind, std::uint64_t since, WatchHandler handler)
 {
     this->sources.retryPreferred(this->scheduler.now());
@@ -96,14 +148,14 @@
         if (!probe && outcome.result == PlatformResult::Ok
             && watch->source == this->sources.current())
             this->confirmed.insert(watch->kind);
-        this->onResult(watch->source, outcome.result);
+        this->onResult(watch->source, outcome.result, outcome.freshness);
         watch->handler(std::move(outcome));
     };
     const auto wait = probe ? internal::probeWait : this->waitFor(watch->kind, watch->source);
     this->clientFor(watch->source).watchFor(watch->kind, since, wait, onAnswer);
 }
 
-void SourcedStore::endProbe(std::optional<Endpoint> source, bool answered)
+void SourcedStore::endProbe(const ViewSource &source, bool answered)
 {
     if (!this->probePending || this->probeSource != source)
         return;
@@ -121,57 +173,85 @@
     }
 }
 
-std::chrono::milliseconds SourcedStore::waitFor(ViewKind kind, std::optional<Endpoint> source) const
+std::chrono::milliseconds SourcedStore::waitFor(ViewKind kind, const ViewSource &source) const
 {
     if (!this->confirmed.contains(kind))
         return internal::initialWait;
     if (kind == ViewKind::Members)
         return internal::memberWait;
-    if (source && kind == ViewKind::Configurations)
-        return internal::peerConfigurationWait;
+    if (kind == ViewKind::Configurations)
+        return source.isStore() ? internal::storeConfigurationWait
+                                : internal::peerConfigurationWait;
     return internal::defaultWait;
 }
 
-void SourcedStore::onResult(std::optional<Endpoint> source, PlatformResult result)
+bool SourcedStore::isTooOldForStart(const ReplyFreshness &freshness) const
+{
+    return this->sources.isStarting() && freshness.age > internal::maxStartAge
+           && this->scheduler.now() - this->startedAt < internal::startAgeTimeout;
+}
+
+void SourcedStore::onResult(const ViewSource &source, PlatformResult result,
+                            const ReplyFreshness &freshness)
 {
     const bool answered = internal::isAnswer(result);
     this->endProbe(source, answered);
     if (source != this->sources.current())
         return;
     if (answered) {
-        this->direct = !source;
-        this->verified = true;
-        this->busySince.reset();
+        this->onAnswer(source, freshness);
         return;
     }
     if (this->isWithinBusyGrace(source, result))
         return;
     this->busySince.reset();
+    if (std::exchange(this->verified, false))
+        this->lostAt = this->scheduler.now();
     this->direct = false;
-    this->verified = false;
     this->confirmed.clear();
-    this->storeFailed = this->storeFailed || !source;
+    this->storeFailed = this->storeFailed || source.isStore();
     this->sources.onSourceFailed(this->scheduler.now());
     this->counters.add("source_failed");
-    this->log.warn("source_failed", {{"source", internal::sourceName(source)},
+    this->log.warn("source_failed", {{"source", source.toString()},
                                      {"result", toString(result)},
-                                     {"next", internal::sourceName(this->sources.current())}});
+                                     {"next", this->sources.current().toString()},
+                                     {"age_ms", toMilliseconds(this->age())}});
     this->failPending(source);
-    if (!source)
+    if (source.isStore())
         this->hooks.onStoreLost();
 }
 
-bool SourcedStore::isWithinBusyGrace(std::optional<Endpoint> source, PlatformResult result)
+void SourcedStore::onAnswer(const ViewSource &source, const ReplyFreshness &freshness)
+{
+    this->direct = source.isStore();
+    this->verified = true;
+    this->busySince.reset();
+    this->noteFreshness(source, freshness);
+}
+
+void SourcedStore::noteFreshness(const ViewSource &source, const ReplyFreshness &freshness)
+{
+    this->confirmedAt = this->scheduler.now() - freshness.age;
+    if (freshness.registryGrace > Duration::zero())
+        this->hooks.onRegistryGrace(freshness.registryGrace);
+    if (std::exchange(this->answeredSource, source) == source)
+        return;
+    this->counters.add("source_selected");
+    this->log.info("source_selected",
+                   {{"source", source.toString()}, {"age_ms", toMilliseconds(freshness.age)}});
+}
+
+bool SourcedStore::isWithinBusyGrace(const ViewSource &source, PlatformResult result)
 {
-    if (!source || result != PlatformResult::Busy || this->sources.isStarting())
+    if (source.isStore() || result != PlatformResult::Busy)
         return false;
     const TimePoint now = this->scheduler.now();
     if (!this->busySince)
         this->busySince = now;
-    return now - *this->busySince < internal::busyGracePeriod;
+    return now - *this->busySince < this->sources.busyGracePeriod();
 }
 
-void SourcedStore::failPending(std::optional<Endpoint> source)
+void SourcedStore::failPending(const ViewSource &source)
 {
     std::list<PendingWatchPtr> failed;
     for (const PendingWatchPtr &watch : this->pending) {
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -18,15 +18,19 @@
 struct SourcedStoreHooks
 {
     /** \returns a client that reads from another instance. */
-    std::function<std::unique_ptr<ObjectSource>(Endpoint peer)> connectPeer;
+    std::function<std::unique_ptr<ObjectSource>(const ViewSource &source)> connectPeer;
 
     /** Called when this instance can no longer read from the store itself. */
     std::function<void()> onStoreLost;
+
+    /** Called when the source says that entries missing from the registry stay usable. */
+    std::function<void(Duration grace)> onRegistryGrace;
 };
 
 /** \brief Reads from the store or another instance, as ViewSources selects.
  *
- * When a call to a source fails, all watches pending at it fail too. A source that stops responding
+ * While the instance starts, each list is requested from several sources. Otherwise, when a call to
+ * a source fails, all watches pending at it fail too. A source that stops responding
  * is thus abandoned as soon as the watch with the shortest wait times out.
  */
 class SourcedStore : public ViewStore
@@ -41,6 +45,12 @@
     /** \returns whether the store is the source and responds, so others may read from this one. */
     [[nodiscard]] bool isDirect() const { return this->direct && this->sources.followsStore(); }
 
+    /** \returns whether a source responds, or was lost less than the grace period ago. */
+    [[nodiscard]] bool isConnected() const;
+
+    /** \returns the time since the store confirmed this instance's view. */
+    [[nodiscard]] Duration age() const;
+
     /** \returns whether the store itself has failed since the last call; resets the state. */
     [[nodiscard]] bool takeStoreFailure() { return std::exchange(this->storeFailed, false); }
 
@@ -49,7 +59,7 @@
     {
         ViewKind kind;
         WatchHandler handler;
-        std::optional<Endpoint> source;
+        ViewSource source;
         bool done = false;
     };
     using PendingWatchPtr = std::shared_ptr<PendingWatch>;
@@ -61,14 +71,18 @@
         std::uint64_t since = 0;
     };
 
-    [[nodiscard]] ObjectSource &clientFor(std::optional<Endpoint> source);
-    [[nodiscard]] bool isWithinBusyGrace(std::optional<Endpoint> source, PlatformResult result);
-    void onResult(std::optional<Endpoint> source, PlatformResult result);
+    [[nodiscard]] ObjectSource &clientFor(const ViewSource &source);
+    [[nodiscard]] bool isWithinBusyGrace(const ViewSource &source, PlatformResult result);
+    [[nodiscard]] bool isTooOldForStart(const ReplyFreshness &freshness) const;
+    void onResult(const ViewSource &source, PlatformResult result, const ReplyFreshness &freshness);
+    void onAnswer(const ViewSource &source, const ReplyFreshness &freshness);
+    void listAtStart(ViewKind kind, ListHandler handler);
+    void onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness);
+    void noteFreshness(const ViewSource &source, const ReplyFreshness &freshness);
     void send(const PendingWatchPtr &watch, std::uint64_t since, bool probe);
-    void endProbe(std::optional<Endpoint> source, bool answered);
-    [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind,
-                                                    std::optional<Endpoint> source) const;
-    void failPending(std::optional<Endpoint> source);
+    void endProbe(const ViewSource &source, bool answered);
+    [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind, const ViewSource &source) const;
+    void failPending(const ViewSource &source);
 
     const Scheduler &scheduler;
     ObjectSource &store;
@@ -76,13 +90,18 @@
     Counters &counters;
     Log &log;
     SourcedStoreHooks hooks;
-    std::map<Endpoint, std::unique_ptr<ObjectSource>> peers;
+    std::map<ViewSource, std::unique_ptr<ObjectSource>> peers;
     std::list<PendingWatchPtr> pending;
     std::list<DeferredWatch> deferred;
     std::set<ViewKind> confirmed; //!< Kinds for which the current source has answered a watch.
     /** First Busy reply of the current source, which has no view yet. */
     std::optional<TimePoint> busySince;
-    std::optional<Endpoint> probeSource; //!< Source of the pending or last probe.
+    std::optional<ViewSource> probeSource;    //!< Source of the pending or last probe.
+    std::set<ViewSource> startSources;        //!< Sources that have answered a list of the start.
+    std::optional<ViewSource> answeredSource; //!< Source of the last answer.
+    std::optional<TimePoint> confirmedAt;     //!< When the store confirmed the view.
+    std::optional<TimePoint> lostAt;          //!< When the current source stopped responding.
+    TimePoint startedAt;
     bool probePending = false;
     bool verified = false; //!< The current source has answered since the last failure.
     bool direct = false;
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -377,9 +377,9 @@
 Bytes encodeRequest(const ViewRequest &request)
 {
     flatbuffers::FlatBufferBuilder builder(internal::initialBufferBytes);
-    builder.Finish(viewwire::CreateRequest(builder, static_cast<std::uint8_t>(request.kind),
-                                           request.since.has_value(), request.since.value_or(0),
-                                           internal::toWireMilliseconds(request.wait)));
+    builder.Finish(viewwire::CreateRequest(
+        builder, static_cast<std::uint8_t>(request.kind), request.since.has_value(),
+        request.since.value_or(0), internal::toWireMilliseconds(request.wait), request.direct));
     return internal::bytesOf(builder);
 }
 
@@ -394,6 +394,7 @@
     if (wire->watch())
         request.since = wire->since();
     request.wait = std::chrono::milliseconds(wire->waitMs());
+    request.direct = wire->direct();
     return request;
 }
 
@@ -424,7 +425,7 @@
     auto reply = internal::decodeReply(kind, message);
     if (!reply)
         return std::nullopt;
-    ViewList list{reply->result, reply->revision, {}};
+    ViewList list{reply->result, reply->revision, {}, {}};
     list.objects.reserve(reply->events.size());
     for (ViewEvent &event : reply->events) {
         if (event.value)
@@ -438,7 +439,7 @@
     auto reply = internal::decodeReply(kind, message);
     if (!reply)
         return std::nullopt;
-    return ViewEvents{reply->result, reply->revision, std::move(reply->events)};
+    return ViewEvents{reply->result, reply->revision, std::move(reply->events), {}};
 }
 
 } // namespace bulrushgap::balance
--- a/src/view/ViewCodec.h
+++ b/src/view/ViewCodec.h
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "view/ViewObject.h"
+#include "view/ViewRequest.h"
 #include "wire/Bytes.h"
 
-#include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <span>
 
@@ -14,16 +13,6 @@
 /** \brief Maximum size of a message between instances that read each other's view. */
 constexpr std::size_t maxViewMessageBytes = 16UL * 1024 * 1024;
 
-/** \brief A read of another instance's view. */
-struct ViewRequest
-{
-    ViewKind kind = ViewKind::Upstreams;
-    std::optional<std::uint64_t> since; //!< For a watch: waits for changes after this revision.
-    std::chrono::milliseconds wait{0};
-
-    friend bool operator==(const ViewRequest &, const ViewRequest &) = default;
-};
-
 /** \brief Encodes messages between instances as FlatBuffers; see view.fbs.
  *
  * Decoders return nothing if a message is malformed. Encoders omit malformed objects from lists and
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -6,7 +6,7 @@
 
 namespace internal {
 
-constexpr WatchRetry viewRetry{std::chrono::milliseconds(15), std::chrono::milliseconds(900),
+constexpr WatchRetry viewRetry{std::chrono::milliseconds(15), std::chrono::milliseconds(500),
                                std::chrono::milliseconds(200)};
 
 /** Minimum interval between full reads of the registry that unknown flow tags trigger. */
@@ -38,6 +38,27 @@
     return entries;
 }
 
+/** \returns the changes that lead from \a before to the objects of a complete update, so that
+ * readers of this instance need not list all objects again. */
+ViewUpdate changesSince(std::span<const ViewItem> before, const ViewUpdate &complete)
+{
+    ViewUpdate changes{false, complete.revision, {}};
+    std::map<std::string_view, std::uint64_t> versions;
+    for (const ViewItem &item : before)
+        versions.emplace(item.key, item.version);
+    for (const ViewEvent &event : complete.events) {
+        const auto known = versions.find(event.key);
+        const bool same = known != versions.end() && known->second == event.version;
+        if (known != versions.end())
+            versions.erase(known);
+        if (!same)
+            changes.events.push_back(event);
+    }
+    for (const auto &[key, version] : versions)
+        changes.events.push_back({std::string(key), complete.revision, std::nullopt});
+    return changes;
+}
+
 } // namespace internal
 
 ViewFollower::ViewFollower(const Scheduler &scheduler, SourcedStore &store, Random &random,
@@ -85,6 +106,7 @@
 {
     this->logMalformed(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
+    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
     if (update.complete) {
         this->targets.directory.replaceAll(internal::entriesOf(update.events), now);
     } else {
@@ -96,33 +118,35 @@
     }
     this->upstreamsKnown = true;
     this->targets.steering.refreshColdBudgets();
-    this->targets.mirror.apply(ViewKind::Upstreams, update);
+    this->publish(ViewKind::Upstreams, before, update);
     this->onChange();
 }
 
 void ViewFollower::onConfiguration(const ViewUpdate &update)
 {
     this->logMalformed(ViewKind::Configurations, update);
+    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Configurations);
     for (const ViewEvent &event : update.events) {
         const auto *next = internal::valueOf<ConfigurationPtr>(event);
         if (next == nullptr)
             continue;
-        const std::uint64_t before = this->targets.routes.version();
+        const std::uint64_t versionBefore = this->targets.routes.version();
         if (!this->targets.routes.update(*next, this->scheduler.now()))
             continue;
         this->configuration = ViewItem{event.key, event.version, *next};
         this->targets.steering.refreshColdBudgets();
         this->log.info("configuration_in_force", {{"version", this->targets.routes.version()},
-                                                  {"before", before},
+                                                  {"before", versionBefore},
                                                   {"revision", event.version},
                                                   {"routes", this->targets.routes.size()}});
     }
-    this->targets.mirror.apply(ViewKind::Configurations, update);
+    this->publish(ViewKind::Configurations, before, update);
     this->onChange();
 }
 
 void ViewFollower::onEvacuations(const ViewUpdate &update)
 {
+    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
     std::map<std::string, std::uint64_t> next;
     if (!update.complete)
         next = this->evacuated;
@@ -132,23 +156,24 @@
         else
             next.erase(event.key);
     }
-    const auto before = std::exchange(this->evacuated, std::move(next));
-    for (const auto &[domain, revision] : before) {
+    const auto evacuatedBefore = std::exchange(this->evacuated, std::move(next));
+    for (const auto &[domain, revision] : evacuatedBefore) {
         if (!this->evacuated.contains(domain))
             this->applyEvacuation(domain, false);
     }
     for (const auto &[domain, revision] : this->evacuated) {
-        if (!before.contains(domain))
+        if (!evacuatedBefore.contains(domain))
             this->applyEvacuation(domain, true);
     }
     this->evacuationsKnown = true;
-    this->targets.mirror.apply(ViewKind::Evacuations, update);
+    this->publish(ViewKind::Evacuations, before, update);
     this->onChange();
 }
 
 void ViewFollower::onMembers(const ViewUpdate &update)
 {
     this->logMalformed(ViewKind::Members, update);
+    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Members);
     if (update.complete)
         this->members.clear();
     for (const ViewEvent &event : update.events) {
@@ -168,10 +193,24 @@
         this->upstreamWatch.start();
         this->evacuationWatch.start();
     }
-    this->targets.mirror.apply(ViewKind::Members, update);
+    this->publish(ViewKind::Members, before, update);
     this->onChange();
 }
 
+std::vector<ViewItem> ViewFollower::itemsBefore(const ViewUpdate &update, ViewKind kind) const
+{
+    return update.complete ? this->snapshot(kind) : std::vector<ViewItem>();
+}
+
+void ViewFollower::publish(ViewKind kind, std::span<const ViewItem> before,
+                           const ViewUpdate &update)
+{
+    if (update.complete && this->targets.mirror.isLoaded(kind))
+        this->targets.mirror.apply(kind, internal::changesSince(before, update));
+    else
+        this->targets.mirror.apply(kind, update);
+}
+
 void ViewFollower::verifyUpstreams(ObjectSource &registry)
 {
     const TimePoint now = this->scheduler.now();
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,11 @@
     void onConfiguration(const ViewUpdate &update);
     void onEvacuations(const ViewUpdate &update);
     void onMembers(const ViewUpdate &update);
+    /** \returns the objects of a kind if \a update replaces them, otherwise nothing. */
+    [[nodiscard]] std::vector<ViewItem> itemsBefore(const ViewUpdate &update, ViewKind kind) const;
+
+    /** \brief Passes an update on to the instances that read from this one. */
+    void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update);
     void onReachable(ViewKind kind, bool reachable);
     void logMalformed(ViewKind kind, const ViewUpdate &update);
     void applyEvacuation(const std::string &domain, bool isEvacuated);
--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -3,20 +3,36 @@
 #include "base/KeyedHash.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace bulrushgap::balance {
 
 namespace internal {
 
+using std::chrono::milliseconds;
+
 /** Time after a failure until the preferred source is tried again. */
 constexpr Duration preferredRetryDelay = std::chrono::seconds(6);
 
-/** How long an instance reads from the store after a request of another instance. */
-constexpr Duration peerRequestHold = std::chrono::seconds(10);
+/** How long an instance reads from the store after another instance has required it. */
+constexpr Duration directRequestHold = std::chrono::seconds(10);
+
+/** A parent that has just started reads from the store within this time. */
+constexpr Duration minBusyGrace = milliseconds(200);
+constexpr Duration busyGracePerRank = milliseconds(50);
+
+/** A small domain can turn to the store as a whole; a large one would overload it. */
+constexpr Duration minSourceLossGrace = milliseconds(500);
+constexpr Duration maxSourceLossGrace = std::chrono::seconds(5);
+constexpr Duration sourceLossGracePerInstance = milliseconds(60);
 
-/** Number of instances of the own domain that are tried before the store. */
-constexpr std::size_t maxDomainPeers = 2;
+/** Several times what a source that is up needs to answer a short list, and a long one. */
+constexpr Duration hedgeDelay = milliseconds(40);
+constexpr Duration respondingHedgeDelay = milliseconds(160);
+
+/** At the first start the view passes through all levels of the tree. */
+constexpr Duration firstStartHedgeDelay = milliseconds(600);
 
 constexpr std::uint64_t selectionKey = 0x6368'6f69'6365'0001;
 
@@ -27,17 +43,41 @@
     return first.name < second.name;
 }
 
+/** \returns a number that spreads instances over several sources. */
+std::uint64_t nameHash(const Member &member)
+{
+    return KeyedHash(selectionKey)(std::string_view(member.name));
+}
+
+/** \returns \a seeds without \a self, in an order that differs between instances. */
+std::vector<Endpoint> otherSeeds(std::span<const Endpoint> seeds, const Member &self)
+{
+    std::vector<Endpoint> result;
+    std::ranges::copy_if(seeds, std::back_inserter(result),
+                         [&](const Endpoint &seed) { return seed != self.peer; });
+    if (result.empty())
+        return result;
+    const auto first = static_cast<std::ptrdiff_t>(nameHash(self) % result.size());
+    std::rotate(result.begin(), result.begin() + first, result.end());
+    return result;
+}
+
 } // namespace internal
 
-ViewSources::ViewSources(std::string name, std::string domain)
-    : name(std::move(name))
-    , domain(std::move(domain))
-{}
+ViewSources::ViewSources(Member self, std::span<const Endpoint> seeds, bool firstStart)
+    : self(std::move(self))
+    , waitAtStart(firstStart)
+    , seeds(internal::otherSeeds(seeds, this->self))
+    , domainTree{this->self.peer}
+{
+    this->listSources();
+}
 
 void ViewSources::update(std::span<const Member> members, TimePoint now)
 {
-    const auto before = this->current();
-    this->rankSources({members.begin(), members.end()});
+    const ViewSource before = this->current();
+    this->rankMembers(members);
+    this->listSources();
     const auto previous = std::ranges::find(this->sources, before);
     const bool retryDue = now - this->failedAt >= internal::preferredRetryDelay;
     this->currentIndex = retryDue || previous == this->sources.end()
@@ -45,97 +85,171 @@
                              : static_cast<std::size_t>(previous - this->sources.begin());
 }
 
-void ViewSources::rankSources(std::vector<Member> members)
+void ViewSources::rankMembers(std::span<const Member> members)
+{
+    this->others.clear();
+    std::ranges::copy_if(members, std::back_inserter(this->others),
+                         [this](const Member &member) { return member.name != this->self.name; });
+    std::ranges::sort(this->others, internal::ranksBefore);
+    this->domainTree.clear();
+    for (const Member &member : this->others) {
+        if (member.domain == this->self.domain && internal::ranksBefore(member, this->self))
+            this->domainTree.push_back(member.peer);
+    }
+    this->rank = this->domainTree.size();
+    this->domainTree.push_back(this->self.peer);
+    for (const Member &member : this->others) {
+        if (member.domain == this->self.domain && !internal::ranksBefore(member, this->self))
+            this->domainTree.push_back(member.peer);
+    }
+}
+
+void ViewSources::listSources()
 {
-    std::ranges::sort(members, internal::ranksBefore);
     this->sources.clear();
-    this->otherNames.clear();
-    this->domainInstances = 1;
-    this->totalInstances = 1;
-    bool ranksFirst = true;
-    std::size_t domainPeers = 0;
-    for (const Member &member : members) {
-        if (member.name == this->name) {
-            ranksFirst = domainPeers == 0;
-            continue;
-        }
-        ++this->totalInstances;
-        this->otherNames.push_back(member.name);
-        if (member.domain != this->domain)
-            continue;
-        ++this->domainInstances;
-        if (domainPeers++ < internal::maxDomainPeers)
-            this->sources.emplace_back(member.peer);
+    this->addAncestors();
+    this->addSource({});
+    this->addOtherDomains();
+}
+
+void ViewSources::addAncestors()
+{
+    for (std::size_t index = this->rank; index > 0;) {
+        index = (index - 1) / maxChildren;
+        this->addSource({this->domainTree[index], false, true});
     }
-    const bool isMember = std::ranges::any_of(
-        members, [this](const Member &member) { return member.name == this->name; });
-    // The instance with the highest rank uses other instances only if the store fails.
-    if (ranksFirst && isMember)
-        this->sources.assign(1, std::nullopt);
-    else
-        this->sources.emplace_back(std::nullopt);
-    std::vector<std::string> domains{this->domain};
-    for (const Member &member : members) {
-        if (std::ranges::find(domains, member.domain) != domains.end())
+    // If the root is lost, the second instance is the first to read from the store.
+    if (this->rank > 1)
+        this->addSource({this->domainTree[1], false, true});
+}
+
+void ViewSources::addOtherDomains()
+{
+    std::set<std::string_view> domains{this->self.domain};
+    for (const Member &member : this->others) {
+        if (!domains.insert(member.domain).second)
             continue;
-        domains.push_back(member.domain);
-        this->sources.emplace_back(member.peer);
+        this->sources.push_back({member.peer, true, false});
         // Store outages are mostly short and affect other instances too, so the store is retried
         // after each of them.
-        this->sources.emplace_back(std::nullopt);
+        this->sources.emplace_back();
     }
 }
 
+void ViewSources::addSource(const ViewSource &source)
+{
+    const auto same = [&](const ViewSource &known) {
+        return known.peer == source.peer;
+    };
+    if (std::ranges::none_of(this->sources, same))
+        this->sources.push_back(source);
+}
+
 bool ViewSources::isSelected(std::string_view subject, unsigned count) const
 {
     const KeyedHash hash(internal::selectionKey);
     const std::uint64_t subjectHash = hash(subject);
-    const std::uint64_t own = hash(subjectHash, hash(std::string_view(this->name)));
-    const auto before = std::ranges::count_if(this->otherNames, [&](const std::string &other) {
-        return hash(subjectHash, hash(std::string_view(other))) < own;
+    const std::uint64_t own = hash(subjectHash, hash(std::string_view(this->self.name)));
+    const auto before = std::ranges::count_if(this->others, [&](const Member &other) {
+        return hash(subjectHash, hash(std::string_view(other.name))) < own;
     });
     return std::cmp_less(before, count);
 }
 
-std::optional<Endpoint> ViewSources::current() const
+HedgedList::Plan ViewSources::startPlan() const
+{
+    if (this->waitAtStart && this->rank > 0)
+        return {{this->current(), ViewSource{}}, internal::firstStartHedgeDelay, {}};
+    HedgedList::Plan plan;
+    plan.delay = internal::hedgeDelay;
+    plan.respondingDelay = internal::respondingHedgeDelay;
+    const ViewSource store;
+    if (!this->startSource)
+        plan.order.push_back(store);
+    if (const auto peer = this->startPeer())
+        plan.order.push_back({*peer, false, false});
+    if (this->startSource) {
+        plan.order.push_back(*this->startSource);
+        plan.order.push_back(store);
+        return plan;
+    }
+    for (const Endpoint &seed : this->seeds)
+        plan.order.push_back({seed, false, false});
+    return plan;
+}
+
+std::optional<Endpoint> ViewSources::startPeer() const
 {
-    return this->sources[this->currentIndex];
+    std::vector<Endpoint> strongest;
+    std::uint32_t capacity = 0;
+    for (const Member &member : this->others) {
+        if (member.domain != this->self.domain)
+            continue;
+        if (!strongest.empty() && member.capacity < capacity)
+            break;
+        capacity = member.capacity;
+        strongest.push_back(member.peer);
+    }
+    if (strongest.empty())
+        return std::nullopt;
+    return strongest[internal::nameHash(this->self) % strongest.size()];
+}
+
+void ViewSources::onStartAnswer(const ViewSource &source)
+{
+    if (!source.isStore() && !this->startSource)
+        this->startSource = source;
 }
 
 void ViewSources::onSourceFailed(TimePoint now)
 {
     this->failedAt = now;
-    if (this->starting && !this->followsStore())
-        this->currentIndex = this->storeIndex();
-    else
-        this->currentIndex = (this->currentIndex + 1) % this->sources.size();
+    this->currentIndex = (this->currentIndex + 1) % this->sources.size();
+}
+
+void ViewSources::onViewComplete()
+{
+    if (std::exchange(this->starting, false))
+        this->currentIndex = 0;
 }
 
 std::size_t ViewSources::storeIndex() const
 {
-    const auto store = std::ranges::find(this->sources, std::optional<Endpoint>());
+    const auto store = std::ranges::find_if(this->sources, &ViewSource::isStore);
     return static_cast<std::size_t>(store - this->sources.begin());
 }
 
 void ViewSources::retryPreferred(TimePoint now)
 {
-    if (this->peerRequestAt && now - *this->peerRequestAt < internal::peerRequestHold)
+    if (this->directRequestAt && now - *this->directRequestAt < internal::directRequestHold)
         return;
-    this->peerRequestAt.reset();
+    this->directRequestAt.reset();
     if (this->currentIndex != 0 && now - this->failedAt >= internal::preferredRetryDelay)
         this->currentIndex = 0;
 }
 
-void ViewSources::onPeerRequest(TimePoint now)
+void ViewSources::onDirectRequest(TimePoint now)
 {
-    if (this->peerRequestAt && !this->followsStore()
-        && now - *this->peerRequestAt < internal::peerRequestHold) {
+    if (this->directRequestAt && !this->followsStore()
+        && now - *this->directRequestAt < internal::directRequestHold) {
         // The store has failed since the last request: keep the current source.
         return;
     }
-    this->peerRequestAt = now;
+    this->directRequestAt = now;
     this->failedAt = now;
     this->currentIndex = this->storeIndex();
 }
 
+Duration ViewSources::busyGracePeriod() const
+{
+    return internal::minBusyGrace + this->rank * internal::busyGracePerRank;
+}
+
+Duration ViewSources::sourceLossGracePeriod() const
+{
+    const Duration grace = internal::minSourceLossGrace
+                           + this->domainTree.size() * internal::sourceLossGracePerInstance;
+    return std::min(grace, internal::maxSourceLossGrace);
+}
+
 } // namespace bulrushgap::balance
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -2,13 +2,13 @@
 
 #include "base/Endpoint.h"
 #include "base/Time.h"
+#include "view/HedgedList.h"
 #include "view/Member.h"
+#include "view/ViewSource.h"
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 #include <span>
-#include <string>
 #include <string_view>
 #include <vector>
 
@@ -16,60 +16,102 @@
 
 /** \brief Selects the source from which an instance reads the deployment's state.
  *
- * Limits the load of hundreds of instances on the platform's store: in each failure domain the
- * instance with the highest rank reads from the store, the others read from it. After a failure an
- * instance uses the next source of its list, which also contains the store and instances of other
- * domains, so an instance that the store rejects still receives changes. There is no election: an
- * instance that receives a read request starts to read from the store.
+ * Limits the load of hundreds of instances on the platform's store and on each other: the instances
+ * of a failure domain form a tree in the order of their rank (link rate, then name). The first one
+ * reads from the store, each other one reads from its parent, and no instance has more than
+ * \c maxChildren children. Parents rank before their children on every instance, so instances
+ * with different member lists cannot form a loop. After a failure an instance uses the next source
+ * of its list: its other ancestors, the store, and instances of other domains that read from the
+ * store. An instance that is required to read from the store starts to do so.
+ *
+ * A starting instance knows no other one except its seeds. It asks the
+ * store first, which answers hundreds of lists at once sooner than instances that have few links
+ * and processors, then a strong instance of its domain and the seeds, so that it starts without the
+ * store if another instance has a view.
  */
 class ViewSources
 {
 public:
-    ViewSources(std::string name, std::string domain);
+    /** Number of instances that read from the same other one while all are up. */
+    static constexpr std::size_t maxChildren = 4;
+
+    /** \param seeds peer addresses that are known before the members; may include \a self
+     *  \param firstStart whether no instance has a view yet and no caller waits, so that lists may
+     *  wait for an instance that reads the store */
+    explicit ViewSources(Member self, std::span<const Endpoint> seeds = {},
+                         bool firstStart = false);
 
     /** \brief Replaces the members; keeps the current source only for a while after a failure. */
     void update(std::span<const Member> members, TimePoint now);
 
-    /** \returns the instance to read from, or nothing for the store. */
-    [[nodiscard]] std::optional<Endpoint> current() const;
+    /** \returns the source to read from. */
+    [[nodiscard]] const ViewSource &current() const { return this->sources[this->currentIndex]; }
+
+    /** \returns how a starting instance requests its lists. */
+    [[nodiscard]] HedgedList::Plan startPlan() const;
+
+    /** \brief Prefers the source to the store for the rest of the start. */
+    void onStartAnswer(const ViewSource &source);
 
     /** \brief Selects the next source because the current one did not respond. */
     void onSourceFailed(TimePoint now);
 
-    /** \brief Marks the view as complete. Before that, the store is next after a failed peer. */
-    void onViewComplete() { this->starting = false; }
+    /** \brief Ends the start and selects the preferred source. */
+    void onViewComplete();
     [[nodiscard]] bool isStarting() const { return this->starting; }
 
     /** \brief Selects the preferred source again once the retry delay has passed. */
     void retryPreferred(TimePoint now);
 
-    /** \brief Selects the store for a while because another instance reads from this one. */
-    void onPeerRequest(TimePoint now);
+    /** \brief Selects the store for a while because another instance requires it. */
+    void onDirectRequest(TimePoint now);
+
+    /** \returns whether this instance reads from the store. */
+    [[nodiscard]] bool followsStore() const { return this->current().isStore(); }
+
+    /** \returns how long an instance that has no source itself is kept as a source. Grows with the
+     * rank, so that instances of one domain turn to the store one after the other. */
+    [[nodiscard]] Duration busyGracePeriod() const;
 
-    /** \returns whether this instance reads from the store, so that others may read from it. */
-    [[nodiscard]] bool followsStore() const { return !this->current().has_value(); }
+    /** \returns how long this instance serves its view after the loss of its own source. */
+    [[nodiscard]] Duration sourceLossGracePeriod() const;
 
     /** \returns whether this instance is among the \a count instances that rendezvous hashing
      * selects for \a subject; instances with the same members agree. */
     [[nodiscard]] bool isSelected(std::string_view subject, unsigned count) const;
 
-    [[nodiscard]] unsigned instancesInDomain() const { return this->domainInstances; }
-    [[nodiscard]] unsigned instances() const { return this->totalInstances; }
+    [[nodiscard]] unsigned instancesInDomain() const
+    {
+        return static_cast<unsigned>(this->domainTree.size());
+    }
+    [[nodiscard]] unsigned instances() const
+    {
+        return static_cast<unsigned>(this->others.size() + 1);
+    }
 
 private:
-    void rankSources(std::vector<Member> members);
+    void rankMembers(std::span<const Member> members);
+    void listSources();
+    void addAncestors();
+    void addOtherDomains();
+    void addSource(const ViewSource &source);
     [[nodiscard]] std::size_t storeIndex() const;
 
-    std::string name;
-    std::string domain;
-    std::vector<std::optional<Endpoint>> sources{std::nullopt}; //!< In order of preference.
+    /** \returns an instance of the own domain that suits the lists of a start, or nothing. */
+    [[nodiscard]] std::optional<Endpoint> startPeer() const;
+
+    Member self;
+    bool waitAtStart;
+    std::vector<Endpoint> seeds;      //!< Without this instance.
+    std::vector<Member> others;       //!< All other instances in the order of their rank.
+    std::vector<Endpoint> domainTree; //!< Own domain in the order of rank, this instance included.
+    std::size_t rank = 0;             //!< Index of this instance in the tree.
+    std::vector<ViewSource> sources;  //!< In order of preference; never empty.
+    std::optional<ViewSource> startSource; //!< Instance that has answered before the store.
     std::size_t currentIndex = 0;
-    std::vector<std::string> otherNames; //!< Names of all other instances.
-    unsigned domainInstances = 1;
-    unsigned totalInstances = 1;
     bool starting = true;
     TimePoint failedAt{};
-    std::optional<TimePoint> peerRequestAt;
+    std::optional<TimePoint> directRequestAt;
 };
 
 } // namespace bulrushgap::balance
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -606,7 +606,8 @@
     VT_KIND = 4,
     VT_WATCH = 6,
     VT_SINCE = 8,
-    VT_WAITMS = 10
+    VT_WAITMS = 10,
+    VT_DIRECT = 12
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -620,12 +621,16 @@
   uint32_t waitMs() const {
     return GetField<uint32_t>(VT_WAITMS, 0);
   }
+  bool direct() const {
+    return GetField<uint8_t>(VT_DIRECT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            VerifyField<uint8_t>(verifier, VT_WATCH, 1) &&
            VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAITMS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_DIRECT, 1) &&
            verifier.EndTable();
   }
 };
@@ -646,6 +651,9 @@
   void add_waitMs(uint32_t waitMs) {
     fbb_.AddElement<uint32_t>(Request::VT_WAITMS, waitMs, 0);
   }
+  void add_direct(bool direct) {
+    fbb_.AddElement<uint8_t>(Request::VT_DIRECT, static_cast<uint8_t>(direct), 0);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -662,10 +670,12 @@
     uint8_t kind = 0,
     bool watch = false,
     uint64_t since = 0,
-    uint32_t waitMs = 0) {
+    uint32_t waitMs = 0,
+    bool direct = false) {
   RequestBuilder builder_(_fbb);
   builder_.add_since(since);
   builder_.add_waitMs(waitMs);
+  builder_.add_direct(direct);
   builder_.add_watch(watch);
   builder_.add_kind(kind);
   return builder_.Finish();
