Tell a second copy of an answer of the store from the answer that is waited for

Cause: report of another operator: a server sent a second copy of an answer on a connection that was in use again. Here the store's client used each connection for every kind of object, and an answer without items passed for an empty list: all upstreams would have been dropped.

Ruled out: connections that are not reused (a new connection for each call), and matching by time. Reads between instances carry a request id already.

Conclusion: a second copy can only be of the same kind, where its revision tells.

--- a/src/store/ObjectWatch.h
+++ b/src/store/ObjectWatch.h
@@ -154,11 +154,14 @@
         this->poll();
         return;
     }
-    if (outcome.result != PlatformResult::Ok) {
+    // An older revision is that of an earlier call, whose answer has arrived twice.
+    if (outcome.result != PlatformResult::Ok || outcome.revision < *this->revision) {
         this->retryLater();
         return;
     }
     this->onSuccess();
+    if (outcome.revision == *this->revision)
+        outcome.events.clear();
     this->revision = outcome.revision;
     this->newestRevision = std::max(this->newestRevision, outcome.revision);
     this->pollAfter(outcome.events.empty() ? Duration::zero() : this->batchDelay);
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -1,5 +1,6 @@
 #include "view/ViewFollower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -117,6 +118,7 @@
         this->targets.directory.update(changes, now);
     }
     this->upstreamsKnown = true;
+    this->upstreamsRevision = std::max(this->upstreamsRevision, update.revision);
     this->targets.steering.refreshColdBudgets();
     this->publish(ViewKind::Upstreams, before, update);
     this->onChange();
@@ -221,7 +223,8 @@
         this->log.info("registry_verified", {{"result", toString(list.result)},
                                              {"revision", list.revision},
                                              {"entries", list.objects.size()}});
-        if (list.result != PlatformResult::Ok)
+        // An older list says nothing about upstreams that have registered since.
+        if (list.result != PlatformResult::Ok || list.revision < this->upstreamsRevision)
             return;
         std::vector<RegistryChange> changes;
         for (const ViewItem &item : list.objects) {
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -80,6 +80,7 @@
     std::optional<ViewItem> configuration;          //!< Configuration in force.
     std::map<std::string, std::uint64_t> evacuated; //!< Store revisions of evacuated domains.
     TimePoint lastVerificationAt{};
+    std::uint64_t upstreamsRevision = 0; //!< Store revision up to which upstreams are known.
     bool membersKnown = false;
     bool upstreamsKnown = false;
     bool evacuationsKnown = false;
--- a/tests/ObjectCodec.cpp
+++ b/tests/ObjectCodec.cpp
@@ -158,3 +158,33 @@
     REQUIRE(decoded);
     CHECK(*decoded == member);
 }
+
+// Guards against the answer to another call that passes for an empty list: all upstreams would be
+// dropped.
+TEST_CASE("an answer without the fields of its call is not usable", "[ObjectCodec]")
+{
+    struct Case
+    {
+        std::string body;
+        PlatformResult list;
+        PlatformResult events;
+    };
+    const auto ok = PlatformResult::Ok;
+    const auto unavailable = PlatformResult::Unavailable;
+    const auto each = GENERATE_COPY(values<Case>({
+        {R"({"items":[],"has_more":false,"as_of":7})", ok, unavailable},
+        {R"({"events":[],"as_of":7})", unavailable, ok},
+        {R"({"events":[],"as_of":4})", unavailable, unavailable},
+        {R"({"items":[],"has_more":false})", unavailable, unavailable},
+        {R"({"meta":{"name":"i-1","revision":7},"spec":{}})", unavailable, unavailable},
+        {R"({})", unavailable, unavailable},
+    }));
+    constexpr std::uint64_t since = 5;
+    const boost::json::value body = boost::json::parse(each.body);
+    balance::ViewList list;
+    list.result = PlatformResult::Ok;
+    CHECK_FALSE(decodeListPage(balance::ViewKind::Upstreams, body.as_object(), list));
+    CHECK(list.result == each.list);
+    CHECK(decodeEvents(balance::ViewKind::Upstreams, body.as_object(), since).result
+          == each.events);
+}
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -181,3 +181,56 @@
     }
     REQUIRE(calls == 3);
 }
+
+namespace {
+
+/** \brief A store whose watches are answered by the test. */
+class ScriptedStore : public WatchableStore
+{
+public:
+    void list(std::string_view /*key*/, ListHandler handler) override
+    {
+        handler({PlatformResult::Ok, 5, {}, {}});
+    }
+    void watch(std::string_view /*key*/, std::uint64_t since, WatchHandler handler) override
+    {
+        this->since = since;
+        this->pending = std::move(handler);
+    }
+    void answer(std::uint64_t revision)
+    {
+        std::exchange(this->pending, {})(
+            {PlatformResult::Ok, revision, {{"a", revision, boost::json::value(1)}}, {}});
+    }
+
+    std::uint64_t since = 0;
+    WatchHandler pending;
+};
+
+} // namespace
+
+// Guards against a second copy of an earlier answer, whose changes would be applied again.
+TEST_CASE("a watch ignores an answer that is not newer than its revision", "[PlatformClient]")
+{
+    boost::asio::io_context context;
+    const Scheduler scheduler = asioScheduler(context);
+    ScriptedStore store;
+    Random random{1};
+    std::vector<std::uint64_t> applied;
+    ObjectWatch watch(
+        scheduler, store, random, "a",
+        [&](const WatchUpdate &update) {
+            for (const WatchEvent &event : update.events)
+                applied.push_back(event.version);
+        },
+        {}, WatchRetry{std::chrono::milliseconds(1), std::chrono::milliseconds(1), {}});
+    watch.start();
+    store.answer(8);
+    store.answer(8);
+    CHECK(store.since == 8);
+    store.answer(6);
+    REQUIRE(runUntil(context, [&] { return static_cast<bool>(store.pending); }));
+    CHECK(store.since == 8);
+    store.answer(9);
+    CHECK(applied == std::vector<std::uint64_t>{8, 9});
+}
