Serve an old view to starting instances in a long outage of the store

Change: a list is answered from an old view too, whose age the reply tells; a starting instance lets sources with a current view answer for 0.3 s first. Watches are refused as before, so that readers look for a better source.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -100,7 +100,7 @@
 
 ObjectMirrorHooks Balancer::mirrorHooks()
 {
-    return {[this](bool direct) { return this->mayServeView(direct); },
+    return {[this](const ViewRequest &request) { return this->mayServe(request); },
             [this](ViewKind kind) { return this->view.snapshot(kind); },
             [this] {
                 return this->freshness();
@@ -295,12 +295,14 @@
                                       {"slow_start_ms", toMilliseconds(entry.slowStart)}});
 }
 
-bool Balancer::mayServeView(bool direct)
+bool Balancer::mayServe(const ViewRequest &request)
 {
     if (this->stopping)
         return false;
-    if (!direct)
-        return this->sourcedStore.isConnected();
+    // A list is mostly for an instance that starts: an old view, whose age it is told, is better
+    // than none.
+    if (!request.direct)
+        return !request.since || this->sourcedStore.isConnected();
     if (!this->sources.followsStore())
         this->sources.onDirectRequest(this->scheduler.now());
     return this->sourcedStore.isDirect() && this->view.isComplete();
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -116,7 +116,7 @@
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
     void logDirectoryChange(const DirectoryChange &change);
-    [[nodiscard]] bool mayServeView(bool direct);
+    [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
 
     BalancerOptions options;
--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -36,7 +36,7 @@
         this->addPendingList(state, request, respond);
         return;
     }
-    if (!this->hooks.mayServe(request.direct) || !state.loaded) {
+    if (!this->hooks.mayServe(request) || !state.loaded) {
         respond(internal::busyList());
         return;
     }
@@ -73,7 +73,7 @@
 {
     KindState &state = this->stateOf(request.kind);
     const std::uint64_t since = request.since.value_or(0);
-    if (!this->hooks.mayServe(request.direct) || !state.loaded) {
+    if (!this->hooks.mayServe(request) || !state.loaded) {
         respond(internal::emptyEvents(PlatformResult::Busy));
         return;
     }
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -16,9 +16,8 @@
 
 struct ObjectMirrorHooks
 {
-    /** \returns whether the view may be served; \a direct requires that it was read from the store,
-     * and tells this instance that another one requires it. */
-    std::function<bool(bool direct)> mayServe;
+    /** \returns whether the reply to a request may be taken from this instance's view. */
+    std::function<bool(const ViewRequest &request)> mayServe;
 
     /** \returns all objects of a kind in this instance's view. */
     std::function<std::vector<ViewItem>(ViewKind kind)> snapshot;
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -28,7 +28,7 @@
 constexpr Duration maxStartAge = std::chrono::seconds(3);
 
 /** Time after which a starting instance takes any view: it then knows of no better one. */
-constexpr Duration startAgeTimeout = milliseconds(1'500);
+constexpr Duration startAgeTimeout = milliseconds(300);
 
 constexpr milliseconds memberWait{15'000};
 
@@ -96,19 +96,35 @@
     };
     listHooks.send = [this, kind](const ViewSource &source, const ListHandler &onList) {
         this->clientFor(source).list(kind, [this, source, onList](ViewList outcome) {
-            if (this->isTooOldForStart(outcome.freshness)) {
-                this->counters.add("source_too_old");
-                outcome = ViewList{};
-            }
-            if (outcome.result == PlatformResult::Ok)
-                this->onStartAnswer(source, outcome.freshness);
-            onList(std::move(outcome));
+            if (this->isTooOldForStart(outcome.freshness))
+                this->delayStartList(source, std::move(outcome), onList);
+            else
+                this->onStartList(source, std::move(outcome), onList);
         });
     };
     HedgedList::start(this->scheduler, this->sources.startPlan(), std::move(listHooks),
                       std::move(handler));
 }
 
+void SourcedStore::delayStartList(const ViewSource &source, ViewList outcome, ListHandler onList)
+{
+    this->counters.add("source_too_old");
+    const Duration left = this->startedAt + internal::startAgeTimeout - this->scheduler.now();
+    const auto kept = std::make_shared<ViewList>(std::move(outcome));
+    this->delayedLists.push_back(
+        this->scheduler.after(left, [this, source, kept, onList = std::move(onList)] {
+            this->onStartList(source, std::move(*kept), onList);
+        }));
+}
+
+void SourcedStore::onStartList(const ViewSource &source, ViewList outcome,
+                               const ListHandler &onList)
+{
+    if (outcome.result == PlatformResult::Ok)
+        this->onStartAnswer(source, outcome.freshness);
+    onList(std::move(outcome));
+}
+
 void SourcedStore::onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness)
 {
     this->startSources.insert(source);
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace bulrushgap::balance {
 
@@ -77,6 +78,10 @@
     void onResult(const ViewSource &source, PlatformResult result, const ReplyFreshness &freshness);
     void onAnswer(const ViewSource &source, const ReplyFreshness &freshness);
     void listAtStart(ViewKind kind, ListHandler handler);
+
+    /** \brief Lets sources with a current view answer before one with an old view counts. */
+    void delayStartList(const ViewSource &source, ViewList outcome, ListHandler onList);
+    void onStartList(const ViewSource &source, ViewList outcome, const ListHandler &onList);
     void onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness);
     void noteFreshness(const ViewSource &source, const ReplyFreshness &freshness);
     void send(const PendingWatchPtr &watch, std::uint64_t since, bool probe);
@@ -99,8 +104,9 @@
     std::optional<ViewSource> probeSource;    //!< Source of the pending or last probe.
     std::set<ViewSource> startSources;        //!< Sources that have answered a list of the start.
     std::optional<ViewSource> answeredSource; //!< Source of the last answer.
-    std::optional<TimePoint> confirmedAt;     //!< When the store confirmed the view.
-    std::optional<TimePoint> lostAt;          //!< When the current source stopped responding.
+    std::vector<Scheduler::Timer> delayedLists;
+    std::optional<TimePoint> confirmedAt; //!< When the store confirmed the view.
+    std::optional<TimePoint> lostAt;      //!< When the current source stopped responding.
     TimePoint startedAt;
     bool probePending = false;
     bool verified = false; //!< The current source has answered since the last failure.
--- a/tests/LargeView.cpp
+++ b/tests/LargeView.cpp
@@ -87,11 +87,14 @@
         {StoreMode::Serving, 60.0},
     }));
     const unsigned perDomain = GENERATE(3U, instancesPerDomain);
+    // After some seconds no instance has a view that the store has confirmed lately.
+    const Duration outage = GENERATE(Duration(milliseconds(500)), Duration(seconds(8)));
     LargeDeployment deployment(perDomain == 3U ? 3U : domains, perDomain);
     deployment.settle();
     deployment.surroundings.storeFaults.mode = each.mode;
     deployment.surroundings.storeFaults.slowness = each.slowness;
-    deployment.run(milliseconds(500));
+    deployment.surroundings.store.cutWatches();
+    deployment.run(outage);
     deployment.killAndRestart(deployment.every(2), restartPause);
     CHECK(deployment.runUntilReady() <= milliseconds(500));
 }
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -47,12 +47,13 @@
 {
     explicit PeerProcess(boost::asio::io_context &context)
         : scheduler(asioScheduler(context))
-        , mirror(this->scheduler,
-                 {[this](bool required) { return required ? this->direct : this->connected; },
-                  [this](ViewKind kind) { return this->objects[kind]; },
-                  [this] {
-                      return this->freshness;
-                  }})
+        , mirror(this->scheduler, {[this](const ViewRequest &request) {
+                                       return request.direct ? this->direct : this->connected;
+                                   },
+                                   [this](ViewKind kind) { return this->objects[kind]; },
+                                   [this] {
+                                       return this->freshness;
+                                   }})
         , server(context, anyPort, this->mirror, this->counters)
         , endpoint(startServer(this->server))
     {}
