--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -31,8 +31,8 @@
 /** \brief Reads from the store or another instance, as ViewSources selects.
  *
  * While the instance starts, each list is requested from several sources. Otherwise, when a call to
- * a source fails, all watches pending at it fail too. A source that stops responding
- * is thus abandoned as soon as the watch with the shortest wait times out.
+ * a source fails, all watches pending at it fail too. A source that stops responding is thus
+ * abandoned as soon as the watch with the shortest wait times out.
  */
 class SourcedStore : public ViewStore
 {
--- a/tests/LargeView.cpp
+++ b/tests/LargeView.cpp
@@ -57,7 +57,7 @@
 {
     LargeDeployment deployment(domains, instancesPerDomain);
     deployment.settle();
-    // Each enters itself and lists the members; the rest is read by a few.
+    // Each registers and lists the members; a few read the rest.
     CHECK(deployment.callsOfSettling() <= 3 * deployment.size());
 }
 
