--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -31,6 +31,9 @@
 constexpr Duration hedgeDelay = milliseconds(40);
 constexpr Duration respondingHedgeDelay = milliseconds(160);
 
+/** Instances of a domain that may list the store at once without a delay by its longer answers. */
+constexpr std::size_t maxStoreReaders = 10;
+
 /** At the first start the view passes through all levels of the tree. */
 constexpr Duration firstStartHedgeDelay = milliseconds(600);
 
@@ -169,14 +172,18 @@
     }
     plan.delay = internal::hedgeDelay;
     plan.respondingDelay = internal::respondingHedgeDelay;
+    const bool storeFirst
+        = !this->startSource && this->domainTree.size() <= internal::maxStoreReaders;
+    if (storeFirst)
+        plan.order.push_back(store);
     if (const auto peer = this->startPeer())
         plan.order.push_back({*peer, false, false});
-    if (this->startSource) {
+    if (this->startSource)
         plan.order.push_back(*this->startSource);
+    if (!storeFirst)
         plan.order.push_back(store);
+    if (this->startSource)
         return plan;
-    }
-    plan.order.push_back(store);
     for (const Endpoint &seed : this->seeds)
         plan.order.push_back({seed, false, false});
     return plan;
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -25,8 +25,9 @@
  * store. An instance that is required to read from the store starts to do so.
  *
  * A starting instance knows no other one except its seeds. It lists the members from the store or a
- * seed, the rest from a strong instance of its domain, whose replies are shorter than the store's,
- * from the store or a seed. So it starts without the store if another instance has a view.
+ * seed, the rest from the store, a strong instance of its domain or a seed; in a large domain the
+ * strong instance comes before the store, since its replies are shorter. So an instance starts
+ * without the store if another one has a view.
  */
 class ViewSources
 {
