--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -106,6 +106,7 @@
         self.dropped = 0  # Changes up to this revision are no longer in the history.
         self.changed = asyncio.Condition()
         self.down = False  # Silent: calls get no answer.
+        self.turned_away = set()  # Addresses of the store whose callers get 503 for each call.
         self.back = asyncio.Event()
         self.back.set()
         self.servers = []
@@ -160,6 +161,13 @@
         async with self.changed:
             self.changed.notify_all()
 
+    def turn_away(self, address):
+        """Refuses all calls to this address of the store, and cuts the watches that wait there."""
+        self.turned_away.add(address)
+        for writer in list(self.writers):
+            if writer.get_extra_info("sockname")[0] == address:
+                writer.close()
+
     async def go_down(self):
         """Silent from now on: calls and watches that wait get no answer."""
         self.down = True
@@ -194,7 +202,9 @@
                 if self.down:
                     await self.back.wait()  # The connection stays silent; it is cut at the return.
                     return
-                status, answer = await self.handle(method, target, body)
+                status, answer = 503, {}
+                if writer.get_extra_info("sockname")[0] not in self.turned_away:
+                    status, answer = await self.handle(method, target, body)
                 if self.down:
                     await self.back.wait()
                     return
@@ -268,7 +278,7 @@
         self.cold_s = 0.0  # How long it stays cold after a start during traffic.
         self.state = "ready"
         self.alive = False
-        self.taken = []  # Opening packets: (time, caller, route port, machine)
+        self.taken = []  # Opening packets: (time, caller, caller's port, machine)
         self.ran = []  # Requests run: (time, id, route, machine)
         self.started_at = 0.0
 
@@ -342,7 +352,7 @@
             flow = {"seq": random.getrandbits(31), "open": False, "done": False}
             self.flows[key] = flow
             now = self.world.record.now()
-            self.taken.append((now, ip_text(packet.src), packet.dport, machine))
+            self.taken.append((now, ip_text(packet.src), packet.sport, machine))
             self.world.record.write(self.id, "took_opening_packet", caller=ip_text(packet.src),
                                     port=packet.sport, route=f"{ip_text(packet.dst)}:{packet.dport}",
                                     machine=self.world.machine_name(machine))
@@ -424,6 +434,7 @@
         request = f"q-{random.getrandbits(48):012x}"
         sent_at = self.world.record.now()
         name = machine.name if machine else "router"
+        self.world.sent[(self.address, port)] = sent_at
         self.world.record.write(request, "sent", client=self.address, port=port,
                                 route=f"{route[0]}:{route[1]}", through=name)
         try:
@@ -488,6 +499,7 @@
         self.misses = 2
         self.settings = world.folder / f"{name}.json"
         self.store = world.store_addresses[0]
+        self.link_mbps = 1000.0
 
     def write_settings(self, first_start):
         seeds = ",".join(f'"{m.ip}:{self.world.peer_port}"' for m in self.world.machines[:3])
@@ -498,7 +510,7 @@
                 "listen_addrs.datagram_addr": f"{self.ip}:{self.world.packet_port}",
                 "listen_addrs.ready": f"{self.ip}:{self.world.ready_port}",
                 "listen_addrs.control_plane": f"{self.ip}:{self.world.peer_port}",
-                "limits.link_mbps": "1000.0", "bootstrap": "true" if first_start else "false",
+                "limits.link_mbps": str(self.link_mbps), "bootstrap": "true" if first_start else "false",
                 "platform.addr": f"{self.store}:{self.world.store_port}"}.items():
             text = text.replace("{{" + field + "}}", value)
         if "{{" in text:
@@ -554,6 +566,7 @@
         self.store = Store(record)
         self.machines, self.hosts, self.clients, self.tasks = [], [], [], []
         self.routes = {}
+        self.sent = {}  # (client address, port) -> when the request was sent first
         for number, (zone, (count, dispatch, gallery)) in enumerate(ZONES.items()):
             for i in range(count):
                 self.machines.append(Machine(self, f"frontend-{zone}-{i + 1}", zone,
@@ -685,6 +698,9 @@
 
     async def run(folder):
         world = World(pathlib.Path(folder), record)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             return await asyncio.wait_for(scenario(world, trouble), 110)
         finally:
@@ -699,7 +715,7 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             breaches = asyncio.run(run(folder))
-        except (CannotRun, OSError, asyncio.TimeoutError) as error:
+        except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             print(f"can't run: {error!r}")
             record.write("verdict", "can't run", reason=repr(error))
             record.close()
