--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import ctypes
 import json
 import os
 import pathlib
 import random
+import shutil
 import signal
 import socket
 import struct
@@ -27,6 +29,9 @@
 ID_BYTES = 8
 HEARTBEAT_S = 1.2
 HISTORY_S = 20.0
+MAX_SECONDS = 100
+BROKEN = 10  # Differs from the status of a Python program that fails itself.
+PR_SET_PDEATHSIG = 1
 PAGE = 500
 ZONES = {"pattani": (3, 5, 2), "yala": (3, 5, 1), "narathiwat": (2, 4, 1)}  # machines, hosts, hosts
 
@@ -35,6 +40,11 @@
     """The case can't run here; says nothing about the program."""
 
 
+def end_with_parent():
+    """Called in a new process: it is killed if this program ends before it."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 def ip_number(text):
     return struct.unpack(">I", socket.inet_aton(text))[0]
 
@@ -104,7 +114,7 @@
         self.objects = {}  # (kind, name) -> object
         self.history = []  # (monotonic time, revision, kind, event)
         self.dropped = 0  # Changes up to this revision are no longer in the history.
-        self.changed = asyncio.Condition()
+        self.waiting = set()  # Futures of the watches that wait for a change.
         self.down = False  # Silent: calls get no answer.
         self.turned_away = set()  # Addresses of the store whose callers get 503 for each call.
         self.back = asyncio.Event()
@@ -158,8 +168,12 @@
         self.history.append((now, self.revision, kind, event))
         while self.history and now - self.history[0][0] > HISTORY_S:
             self.dropped = self.history.pop(0)[1]
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
+
+    def wake_watches(self):
+        for future in self.waiting:
+            if not future.done():
+                future.set_result(None)
 
     def turn_away(self, address):
         """Refuses all calls to this address of the store, and cuts the watches that wait there."""
@@ -172,8 +186,7 @@
         """Silent from now on: calls and watches that wait get no answer."""
         self.down = True
         self.back.clear()
-        async with self.changed:
-            self.changed.notify_all()
+        self.wake_watches()
 
     async def come_back(self):
         self.down = False
@@ -258,11 +271,12 @@
             left = end - time.monotonic()
             if events or left <= 0 or self.down:
                 return 200, {"events": events, "as_of": self.revision}
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait(), left)
-                except asyncio.TimeoutError:
-                    pass
+            future = asyncio.get_running_loop().create_future()
+            self.waiting.add(future)
+            try:
+                await asyncio.wait([future], timeout=left)
+            finally:
+                self.waiting.discard(future)
 
 
 # ---------------------------------------------------------------- hosts
@@ -524,6 +538,7 @@
         log = open(self.world.folder / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
             str(PROGRAM), "balancer", cwd=str(ROOT), stdout=log, stderr=log,
+            preexec_fn=end_with_parent,
             env={"PATH": os.environ.get("PATH", ""), "BULRUSHGAP_NODE_FILE": str(self.settings)})
         log.close()
         self.world.record.write(self.name, "machine_start")
@@ -688,7 +703,7 @@
 
 
 def run_case(scenario):
-    """Runs scenario(world, trouble), which returns the list of breaches; exits as the issue says."""
+    """Runs scenario(world, trouble), which returns the list of breaches."""
     case = pathlib.Path(sys.argv[1])
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(case / "record.txt")
@@ -696,35 +711,41 @@
         print("target/bulrushgap is missing: build it as the deploy file does")
         sys.exit(2)
 
-    async def run(folder):
-        world = World(pathlib.Path(folder), record)
+    async def play(folder):
+        world = World(folder, record)
         task = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
-            return await asyncio.wait_for(scenario(world, trouble), 110)
+            return await asyncio.wait_for(scenario(world, trouble), MAX_SECONDS)
         finally:
             await world.stop()
-            for machine in world.machines:
-                log = pathlib.Path(folder) / f"{machine.name}.log"
-                keep = os.environ.get("KEEP_LOGS")
-                if keep and log.is_file():
-                    pathlib.Path(keep).mkdir(exist_ok=True)
-                    (pathlib.Path(keep) / log.name).write_bytes(log.read_bytes())
-
-    with tempfile.TemporaryDirectory() as folder:
+
+    async def run():
+        folder = pathlib.Path(tempfile.mkdtemp())
         try:
-            breaches = asyncio.run(run(folder))
+            status = report(record, await play(folder))
         except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
             print(f"can't run: {error!r}")
             record.write("verdict", "can't run", reason=repr(error))
-            record.close()
-            sys.exit(2)
+            status = 2
+        keep = os.environ.get("KEEP_LOGS")
+        if keep:
+            shutil.copytree(folder, keep, dirs_exist_ok=True)
+        shutil.rmtree(folder, ignore_errors=True)
+        record.close()
+        sys.stdout.flush()
+        os._exit(status)  # The processes have ended; what is left are tasks of this process.
+
+    asyncio.run(run())
+
+
+def report(record, breaches):
+    """Prints and records the verdict; returns the exit status, which run.sh translates."""
     for breach in breaches[:20]:
         record.write("verdict", "breach", detail=repr(breach))
     record.write("verdict", "broken" if breaches else "held", breaches=len(breaches))
-    record.close()
     print(f"{'broken' if breaches else 'held'}: {len(breaches)} breaches")
     for breach in breaches[:5]:
         print(" ", breach)
-    sys.exit(1 if breaches else 0)
+    return BROKEN if breaches else 0
