Report the outcome of each request from its caller's packets

Cause: an instance knows only that an upstream is late or silent, and a probe that connects clears that at once.

Change: module outcome and its use in FlowObserver: answered, late against the route's objective, much shorter than usual, or unanswered. Routes carry timeout, objective and priority, also between instances. Nothing acts on the outcomes yet.

--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -91,15 +91,15 @@
         this->hooks.onConfirmedDown(upstream);
 }
 
-void FailureDetector::tick(TimePoint now)
+bool FailureDetector::tick(TimePoint now)
 {
     if (!this->checkAt || now < *this->checkAt)
-        return;
+        return false;
     const bool paused = now - *this->checkAt > internal::pauseTolerance;
     this->checkAt.reset();
     if (paused) {
         this->cancelExpectedAnswers(now);
-        return;
+        return true;
     }
     this->checked.swap(this->monitored);
     this->monitored.clear();
@@ -108,6 +108,7 @@
         this->check(upstream, now);
     }
     this->checked.clear();
+    return false;
 }
 
 void FailureDetector::check(UpstreamIndex upstream, TimePoint now)
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -59,8 +59,9 @@
     /** \brief Records that a probe of a reference, started at \a startedAt, connected. */
     void onReferenceConnected(TimePoint startedAt, TimePoint now);
 
-    /** \brief Checks overdue answers and starts probes that are due. */
-    void tick(TimePoint now);
+    /** \brief Checks overdue answers and starts probes that are due.
+     * \returns whether this process was paused, so that a missing answer is no evidence. */
+    bool tick(TimePoint now);
 
     /** \returns when tick must be called next, or nothing while no answer is expected. */
     [[nodiscard]] std::optional<TimePoint> nextTick() const { return this->checkAt; }
--- a/src/steering/FlowObserver.cpp
+++ b/src/steering/FlowObserver.cpp
@@ -57,8 +57,16 @@
     this->detector.expectAnswer(upstream, now, this->handshakeTimeout());
 }
 
-void FlowObserver::resetState(FlowState &flow, TimePoint now)
+void FlowObserver::onCallerReset(const FlowId &flow, TimePoint now)
 {
+    if (FlowState *state = this->flows.find(flow))
+        this->endRequest(flow.route, *state, now);
+    this->flows.remove(flow);
+}
+
+void FlowObserver::resetState(const FlowId &id, FlowState &flow, TimePoint now)
+{
+    this->endRequest(id.route, flow, now);
     this->setUpstream(flow, noUpstream);
     flow = FlowState{};
     flow.firstSeen = now;
@@ -75,6 +83,7 @@
     else
         this->observeHandshake(packet, flow, upstream, now);
     if (packet.fin) {
+        this->endRequest(packet.route, flow, now);
         this->completeRequest(flow);
         this->setUpstream(flow, noUpstream);
     } else if (packet.dataBytes > 0) {
@@ -108,6 +117,8 @@
     if (!isAfter(packet.acknowledged, flow.acknowledged))
         return;
     flow.acknowledged = packet.acknowledged;
+    if (flow.requestPending)
+        flow.answerTime = now - flow.requestSentAt;
     const bool recent
         = sinceLastPacket < (flow.requestPending ? internal::maxRequestGap : internal::maxFlowGap);
     if (flow.requestPending && recent) {
@@ -134,9 +145,14 @@
     }
     flow.dataEnd = end;
     if (!flow.requestPending) {
+        this->endRequest(packet.route, flow, now);
         flow.requestPending = true;
+        flow.requestOpen = true;
         flow.requestSentAt = now;
+        flow.answerStart = flow.acknowledged;
         ++subject.outstanding;
+        if (this->hooks.onOutcome && flow.objective > Duration::zero())
+            this->lateRequests.add({packet.caller, packet.route}, now, flow.objective);
     }
     const Duration usual = internal::responseTimeoutFactor * this->response.upperBound();
     this->detector.expectAnswer(upstream, now, std::max(internal::minResponseTimeout, usual));
@@ -151,6 +167,39 @@
         --this->directory.at(flow.upstream).outstanding;
 }
 
+void FlowObserver::endRequest(Endpoint route, FlowState &flow, TimePoint now)
+{
+    if (!std::exchange(flow.requestOpen, false) || !this->hooks.onOutcome)
+        return;
+    if (flow.requestPending) {
+        this->report(route, flow, RequestOutcome::Unanswered, now - flow.requestSentAt);
+        return;
+    }
+    const bool isShort = this->answerSizes.add(route, flow.acknowledged - flow.answerStart);
+    this->report(route, flow, isShort ? RequestOutcome::Short : RequestOutcome::Answered,
+                 flow.answerTime);
+}
+
+void FlowObserver::reportLate(TimePoint now, bool paused)
+{
+    this->lateRequests.takeDue(now, [&](const FlowId &id, TimePoint sentAt) {
+        if (paused)
+            return;
+        FlowState *flow = this->flows.find(id);
+        const bool waits = flow != nullptr && flow->requestPending && flow->requestSentAt == sentAt;
+        if (!waits || !std::exchange(flow->requestOpen, false))
+            return;
+        this->report(id.route, *flow, RequestOutcome::Late, now - sentAt);
+    });
+}
+
+void FlowObserver::report(Endpoint route, const FlowState &flow, RequestOutcome outcome,
+                          Duration time)
+{
+    if (flow.upstream != noUpstream)
+        this->hooks.onOutcome({flow.upstream, route, outcome, time});
+}
+
 void FlowObserver::setUpstream(FlowState &flow, UpstreamIndex upstream)
 {
     if (flow.upstream == upstream)
--- a/src/steering/FlowObserver.h
+++ b/src/steering/FlowObserver.h
@@ -3,9 +3,12 @@
 #include "admission/LatencyEstimate.h"
 #include "directory/UpstreamDirectory.h"
 #include "health/FailureDetector.h"
+#include "outcome/AnswerSizes.h"
+#include "outcome/RequestOutcome.h"
 #include "steering/CallerAttempts.h"
 #include "steering/FlowPacket.h"
 #include "steering/FlowTracker.h"
+#include "steering/LateRequests.h"
 
 #include <cstddef>
 #include <functional>
@@ -20,6 +23,7 @@
     LatencyHandler onHandshake; //!< From a SYN to the caller's acknowledgment of the SYN-ACK.
     LatencyHandler
         onResponse; //!< From a request to the caller's first acknowledgment of the response.
+    OutcomeHandler onOutcome; //!< Outcome of a request that this instance saw begin.
 };
 
 /** \brief Infers the state of upstreams from the packets of their callers.
@@ -41,11 +45,14 @@
     }
     void remove(const FlowId &flow) { this->flows.remove(flow); }
 
+    /** \brief Removes a flow that its caller has reset. */
+    void onCallerReset(const FlowId &flow, TimePoint now);
+
     /** \brief Records that a SYN of the flow was forwarded to \a upstream. */
     void onSynForwarded(const FlowId &id, FlowState *flow, UpstreamIndex upstream, TimePoint now);
 
     /** \brief Resets the state of a flow whose caller reuses its port for a new flow. */
-    void resetState(FlowState &flow, TimePoint now);
+    void resetState(const FlowId &id, FlowState &flow, TimePoint now);
 
     /** \brief Records a packet of an established flow to \a upstream. */
     void observe(const FlowPacket &packet, FlowState &flow, UpstreamIndex upstream, TimePoint now);
@@ -65,6 +72,10 @@
     removePendingIf(UpstreamIndex upstream,
                     const std::function<bool(const FlowId &id, const FlowState &flow)> &visitor);
 
+    /** \brief Reports the pending requests that have missed their objective.
+     * \param paused whether this process was paused, so that their answers may wait to be read */
+    void reportLate(TimePoint now, bool paused);
+
     /** \brief Removes idle flows and old connection attempts. */
     void removeExpired(TimePoint now);
 
@@ -78,6 +89,11 @@
     void observeRequest(const FlowPacket &packet, FlowState &flow, UpstreamIndex upstream,
                         TimePoint now);
     void completeRequest(FlowState &flow);
+
+    /** \brief Reports the outcome of the flow's request, whose answer is complete or not to come.
+     */
+    void endRequest(Endpoint route, FlowState &flow, TimePoint now);
+    void report(Endpoint route, const FlowState &flow, RequestOutcome outcome, Duration time);
     void setUpstream(FlowState &flow, UpstreamIndex upstream);
     [[nodiscard]] Duration handshakeTimeout() const;
 
@@ -88,6 +104,8 @@
     CallerAttempts attempts;
     LatencyEstimate handshake;
     LatencyEstimate response;
+    AnswerSizes answerSizes;
+    LateRequests lateRequests;
 };
 
 } // namespace bulrushgap::balance
--- a/src/steering/FlowTracker.h
+++ b/src/steering/FlowTracker.h
@@ -39,9 +39,13 @@
     TimePoint synSentAt{};          //!< When the last SYN was forwarded.
     TimePoint requestSentAt{};      //!< When the first packet of the pending request arrived.
     std::uint32_t acknowledged = 0; //!< Highest sequence number that the caller acknowledged.
+    Duration answerTime{};          //!< From the request to the begin of its answer.
+    Duration objective{};           //!< Of the route; 0 if it has none.
     std::uint32_t dataEnd = 0;      //!< Sequence number after the caller's last data byte.
+    std::uint32_t answerStart = 0;  //!< Acknowledged sequence number when the request was sent.
     bool established = false;       //!< The caller completed the handshake with the upstream.
     bool requestPending = false;    //!< A request was sent and its response has not begun.
+    bool requestOpen = false;       //!< A request was sent and its outcome is not known.
     bool idempotent = false;
 };
 
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -97,9 +97,10 @@
     if (flow == nullptr)
         return this->place(packet, route, nullptr, now);
     if (flow->established)
-        this->observer.resetState(*flow, now);
+        this->observer.resetState(id, *flow, now);
     flow->lastSeen = now;
     flow->idempotent = route.kind == RequestKind::Idempotent;
+    flow->objective = route.objective;
     const bool repeated = flow->upstream != noUpstream;
     if (repeated && now - flow->synSentAt < internal::minSynRetransmitInterval)
         return internal::forward(SteeringReason::RepeatedSyn, flow->upstream, true);
@@ -175,11 +176,13 @@
 {
     const FlowId id{packet.caller, packet.route};
     if (packet.rst)
-        this->observer.remove(id);
+        this->observer.onCallerReset(id, now);
     const UpstreamIndex upstream = this->directory.findByTag(packet.flowTag);
     FlowState *flow = packet.rst ? nullptr : this->observer.findOrAdd(id, now);
-    if (flow != nullptr)
+    if (flow != nullptr) {
         flow->idempotent = route.kind == RequestKind::Idempotent;
+        flow->objective = route.objective;
+    }
     if (upstream == noUpstream)
         return this->decideUntagged(packet, flow);
     const std::string &service = this->directory.at(upstream).entry.service;
@@ -238,7 +241,8 @@
         this->observer.removeExpired(now);
         this->directory.expire(now);
     }
-    this->detector.tick(now);
+    const bool paused = this->detector.tick(now);
+    this->observer.reportLate(now, paused);
     return this->detector.nextTick();
 }
 
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -126,10 +126,11 @@
         std::vector<viewwire::Share> shares;
         for (const ServiceShare &share : route.services)
             shares.emplace_back(share.weight, this->texts.indexOf(share.service));
-        return viewwire::CreateRoute(this->builder, this->builder.CreateString(route.name),
-                                     route.address.address, route.address.port,
-                                     route.kind == RequestKind::Idempotent,
-                                     this->builder.CreateVectorOfStructs(shares));
+        return viewwire::CreateRoute(
+            this->builder, this->builder.CreateString(route.name), route.address.address,
+            route.address.port, route.kind == RequestKind::Idempotent,
+            this->builder.CreateVectorOfStructs(shares), toWireMilliseconds(route.timeout),
+            toWireMilliseconds(route.objective), route.priority);
     }
 
     FlatBufferBuilder &builder;
@@ -325,6 +326,9 @@
         route.name = stringOf(wire.name());
         route.address = {wire.address(), wire.port()};
         route.kind = wire.idempotent() ? RequestKind::Idempotent : RequestKind::RunAtMostOnce;
+        route.timeout = std::chrono::milliseconds(wire.timeoutMs());
+        route.objective = std::chrono::milliseconds(wire.objectiveMs());
+        route.priority = wire.priority();
         if (wire.shares() != nullptr) {
             for (const auto *share : *wire.shares())
                 route.services.push_back({this->stringAt(share->service()), share->weight()});
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -190,7 +190,10 @@
     VT_ADDRESS = 6,
     VT_PORT = 8,
     VT_IDEMPOTENT = 10,
-    VT_SHARES = 12
+    VT_SHARES = 12,
+    VT_TIMEOUTMS = 14,
+    VT_OBJECTIVEMS = 16,
+    VT_PRIORITY = 18
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -207,6 +210,15 @@
   const flatbuffers::Vector<const bulrushgap::viewwire::Share *> *shares() const {
     return GetPointer<const flatbuffers::Vector<const bulrushgap::viewwire::Share *> *>(VT_SHARES);
   }
+  uint32_t timeoutMs() const {
+    return GetField<uint32_t>(VT_TIMEOUTMS, 0);
+  }
+  uint32_t objectiveMs() const {
+    return GetField<uint32_t>(VT_OBJECTIVEMS, 0);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -216,6 +228,9 @@
            VerifyField<uint8_t>(verifier, VT_IDEMPOTENT, 1) &&
            VerifyOffset(verifier, VT_SHARES) &&
            verifier.VerifyVector(shares()) &&
+           VerifyField<uint32_t>(verifier, VT_TIMEOUTMS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTIVEMS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            verifier.EndTable();
   }
 };
@@ -239,6 +254,15 @@
   void add_shares(flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::Share *>> shares) {
     fbb_.AddOffset(Route::VT_SHARES, shares);
   }
+  void add_timeoutMs(uint32_t timeoutMs) {
+    fbb_.AddElement<uint32_t>(Route::VT_TIMEOUTMS, timeoutMs, 0);
+  }
+  void add_objectiveMs(uint32_t objectiveMs) {
+    fbb_.AddElement<uint32_t>(Route::VT_OBJECTIVEMS, objectiveMs, 0);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(Route::VT_PRIORITY, priority, 0);
+  }
   explicit RouteBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -256,8 +280,14 @@
     uint32_t address = 0,
     uint16_t port = 0,
     bool idempotent = false,
-    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::Share *>> shares = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::Share *>> shares = 0,
+    uint32_t timeoutMs = 0,
+    uint32_t objectiveMs = 0,
+    uint32_t priority = 0) {
   RouteBuilder builder_(_fbb);
+  builder_.add_priority(priority);
+  builder_.add_objectiveMs(objectiveMs);
+  builder_.add_timeoutMs(timeoutMs);
   builder_.add_shares(shares);
   builder_.add_address(address);
   builder_.add_name(name);
@@ -272,7 +302,10 @@
     uint32_t address = 0,
     uint16_t port = 0,
     bool idempotent = false,
-    const std::vector<bulrushgap::viewwire::Share> *shares = nullptr) {
+    const std::vector<bulrushgap::viewwire::Share> *shares = nullptr,
+    uint32_t timeoutMs = 0,
+    uint32_t objectiveMs = 0,
+    uint32_t priority = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto shares__ = shares ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::Share>(*shares) : 0;
   return bulrushgap::viewwire::CreateRoute(
@@ -281,7 +314,10 @@
       address,
       port,
       idempotent,
-      shares__);
+      shares__,
+      timeoutMs,
+      objectiveMs,
+      priority);
 }
 
 struct Service FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/ObjectCodec.cpp
+++ b/tests/ObjectCodec.cpp
@@ -17,7 +17,7 @@
 
 const std::string goodRoute
     = R"({"name":"r1","hostname":"198.18.0.1","path_prefix":"/8443/","route_type":"safe",)"
-      R"("timeout_ms":800,"priority":2,"service":"s1"})";
+      R"("timeout_ms":800,"target_latency_ms":120,"priority":2,"service":"s1"})";
 
 /** \returns the member that \a decode rejects, or "" if it succeeds. */
 template <typename Decode>
@@ -121,6 +121,12 @@
     CHECK(configuration->routes[0].address.toString() == "198.18.0.1:8443");
     CHECK(configuration->routes[0].kind == balance::RequestKind::Idempotent);
     CHECK(configuration->routes[1].kind == balance::RequestKind::RunAtMostOnce);
+    CHECK(configuration->routes[0].timeout == std::chrono::milliseconds(800));
+    CHECK(configuration->routes[0].objective == std::chrono::milliseconds(120));
+    CHECK(configuration->routes[0].priority == 2);
+    CHECK(configuration->routes[1].timeout == Duration::zero());
+    CHECK(configuration->routes[1].objective == Duration::zero());
+    CHECK(configuration->routes[1].priority == 0);
     REQUIRE(configuration->routes[1].services.size() == 2);
     CHECK(configuration->routes[1].services[1].weight == 10);
     REQUIRE(configuration->services.size() == 1);
