Let instances below a refused one reach the store in time

Change: the age of the view at the loss of its source counts towards the grace period for serving it, and a round of sources has one busy grace period.

--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -64,8 +64,10 @@
 {
     if (this->verified)
         return true;
+    // The age counts as well: otherwise the grace periods of all levels of the tree would add up.
     return this->lostAt
-           && this->scheduler.now() - *this->lostAt < this->sources.sourceLossGracePeriod();
+           && this->scheduler.now() - *this->lostAt + this->ageAtLoss
+                  < this->sources.sourceLossGracePeriod();
 }
 
 Duration SourcedStore::age() const
@@ -220,9 +222,14 @@
     }
     if (this->isWithinBusyGrace(source, result))
         return;
-    this->busySince.reset();
-    if (std::exchange(this->verified, false))
+    // One grace period for each round of sources: several in a row would keep this instance from
+    // the store for seconds although the store answers it.
+    if (source.isStore())
+        this->busySince.reset();
+    if (std::exchange(this->verified, false)) {
         this->lostAt = this->scheduler.now();
+        this->ageAtLoss = this->age();
+    }
     this->direct = false;
     this->confirmed.clear();
     this->storeFailed = this->storeFailed || source.isStore();
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -99,7 +99,8 @@
     std::list<PendingWatchPtr> pending;
     std::list<DeferredWatch> deferred;
     std::set<ViewKind> confirmed; //!< Kinds for which the current source has answered a watch.
-    /** First Busy reply of the current source, which has no view yet. */
+    /** First Busy reply of an instance without a source since the last answer or failed call to the
+     * store. */
     std::optional<TimePoint> busySince;
     std::optional<ViewSource> probeSource;    //!< Source of the pending or last probe.
     std::set<ViewSource> startSources;        //!< Sources that have answered a list of the start.
@@ -107,6 +108,7 @@
     std::vector<Scheduler::Timer> delayedLists;
     std::optional<TimePoint> confirmedAt; //!< When the store confirmed the view.
     std::optional<TimePoint> lostAt;      //!< When the current source stopped responding.
+    Duration ageAtLoss{};                 //!< Age of the view when the source stopped responding.
     TimePoint startedAt;
     bool probePending = false;
     bool verified = false; //!< The current source has answered since the last failure.
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -73,7 +73,8 @@
      * rank, so that instances of one domain turn to the store one after the other. */
     [[nodiscard]] Duration busyGracePeriod() const;
 
-    /** \returns how long this instance serves its view after the loss of its own source. */
+    /** \returns the age up to which this instance serves its view after the loss of its own
+     * source. */
     [[nodiscard]] Duration sourceLossGracePeriod() const;
 
     /** \returns whether this instance is among the \a count instances that rendezvous hashing
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -293,6 +293,30 @@
     CHECK(follower.sourced.age() < std::chrono::milliseconds(1'500));
 }
 
+// Guards against grace periods that add up from level to level, so that a domain whose first
+// instances the store refuses learns of no change for many seconds.
+TEST_CASE("a view that was old at the loss of its source is not served again", "[SourcedStore]")
+{
+    struct Case
+    {
+        std::chrono::milliseconds age;
+        bool connected;
+    };
+    const auto each = GENERATE(values<Case>(
+        {{std::chrono::milliseconds(0), true}, {std::chrono::milliseconds(1'900), false}}));
+    boost::asio::io_context context;
+    auto peer = std::make_unique<PeerProcess>(context);
+    PeerProcess store(context);
+    peer->freshness.age = each.age;
+    Follower follower(context, peer->endpoint, store.endpoint);
+    peer->add(ViewKind::Upstreams, "i-1", 5, true);
+    static_cast<void>(watch(context, follower.sourced, ViewKind::Upstreams, 4));
+    REQUIRE(follower.sourced.isConnected());
+    peer.reset();
+    static_cast<void>(watch(context, follower.sourced, ViewKind::Upstreams, 5));
+    CHECK(follower.sourced.isConnected() == each.connected);
+}
+
 // Guards against a start that never completes because lists dropped with a failed one get no reply.
 TEST_CASE("all pending lists of a failed source fail", "[SourcedStore]")
 {
