--- /dev/null
+++ b/src/capacity/CapacityLearner.cpp
@@ -0,0 +1,48 @@
+#include "capacity/CapacityLearner.h"
+
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+constexpr double reportedChange = 2.0;
+
+/** \returns whether the time of the outcome says how fast the upstream is. */
+bool hasServiceTime(RequestOutcome outcome)
+{
+    // A refusal is fast whatever the upstream's speed, and an unanswered request has no time.
+    return outcome == RequestOutcome::Answered || outcome == RequestOutcome::Late;
+}
+
+} // namespace internal
+
+CapacityLearner::CapacityLearner(UpstreamDirectory &directory, CapacityChangeHandler onChange)
+    : directory(directory)
+    , onChange(std::move(onChange))
+{}
+
+void CapacityLearner::onOutcome(const RequestObservation &observation, TimePoint now)
+{
+    if (!internal::hasServiceTime(observation.outcome))
+        return;
+    const Endpoint &route = observation.route;
+    UsualTime &usual = this->byRoute[(std::uint64_t{route.address} << 16U) | route.port];
+    usual.add(observation.time);
+    this->directory.at(observation.upstream).capacity.add(usual.ratioOf(observation.time), now);
+    this->reportChange(observation.upstream, now);
+}
+
+void CapacityLearner::reportChange(UpstreamIndex upstream, TimePoint now)
+{
+    Upstream &subject = this->directory.at(upstream);
+    const double factor = subject.capacity.factor(now);
+    const double before = subject.reportedCapacity;
+    if (factor < before * internal::reportedChange && factor > before / internal::reportedChange)
+        return;
+    subject.reportedCapacity = factor;
+    if (this->onChange)
+        this->onChange(upstream, before, factor);
+}
+
+} // namespace bulrushgap::balance
--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "capacity/CapacityEstimate.h"
 #include "coldstart/ColdStartBudget.h"
 #include "directory/UpstreamEntry.h"
 #include "health/UpstreamHealth.h"
@@ -27,6 +28,8 @@
     TimePoint coldUntil{};
     ColdStartBudget coldBudget;
     UpstreamHealth health;
+    CapacityEstimate capacity;     //!< Of this incarnation.
+    double reportedCapacity = 1.0; //!< Factor at the last report of a change.
     bool isMonitored = false;      //!< In the failure detector's list of monitored upstreams.
     bool replaced = false;         //!< Another listed upstream has its address.
     std::uint32_t openFlows = 0;   //!< Flows of this instance.
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -125,6 +125,8 @@
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry.entry.slowStart);
     if (restarted) {
         upstream.health.reset();
+        upstream.capacity = {};
+        upstream.reportedCapacity = 1.0;
         this->notify(DirectoryChange::Kind::Restarted, index);
     } else if (entry.entry.state == stateBefore) {
         this->notify(wasRegistered ? DirectoryChange::Kind::Changed : DirectoryChange::Kind::Added,
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -104,14 +104,16 @@
 double Placement::scoreOf(const Upstream &upstream, const PlacementConstraints &constraints,
                           TimePoint now)
 {
-    const double slots = std::max(1U, upstream.entry.slots);
+    const double factor = this->usesLearnedCapacity ? upstream.capacity.factor(now) : 1.0;
+    const double slots = std::max(1U, upstream.entry.slots) * factor;
     std::uniform_real_distribution<double> jitter(0.0, internal::maxJitter);
     double score = jitter(this->random);
     const double requests = upstream.outstanding + internal::flowWeight * upstream.openFlows;
-    if (upstream.entry.domain == this->domain)
-        score += requests * this->instancesPerDomain / slots;
-    else
-        score += requests * this->instancesPerDomain / slots + internal::crossDomainPenalty;
+    score += requests * this->instancesPerDomain / slots;
+    // An idle upstream that is slow still takes longer than an idle one of the usual speed.
+    score += 1.0 / slots - 1.0 / std::max(1U, upstream.entry.slots);
+    if (upstream.entry.domain != this->domain)
+        score += internal::crossDomainPenalty;
     if (now < upstream.coldUntil)
         score += internal::slowStartPenalty;
     score += internal::livenessPenalty(upstream.health.liveness());
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -47,6 +47,9 @@
     /** \brief Sets how many instances share the load of a failure domain. */
     void setInstancesPerDomain(unsigned instances) { this->instancesPerDomain = instances; }
 
+    /** \brief Weighs slots by what was learned of an upstream's speed. */
+    void useLearnedCapacity() { this->usesLearnedCapacity = true; }
+
 private:
     void consider(UpstreamIndex index, const PlacementConstraints &constraints, TimePoint now,
                   PlacementChoice &choice);
@@ -60,6 +63,7 @@
     std::string domain;
     Random &random;
     unsigned instancesPerDomain = 1;
+    bool usesLearnedCapacity = false;
 };
 
 } // namespace bulrushgap::balance
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -58,13 +58,26 @@
                            [this](UpstreamIndex upstream) {
                                this->resetPendingFlows(upstream);
                            }})
-    , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
+    , capacity(directory, {})
+    , observer(settings.flowCapacity, directory, this->detector, this->observerHooks())
     , placement(directory, std::move(settings.domain), random)
     , coldStart(directory, routes, this->hooks.isBudgetSharer)
-{}
+{
+    this->placement.useLearnedCapacity();
+}
+
+FlowObserverHooks PacketSteering::observerHooks()
+{
+    FlowObserverHooks result = this->hooks.latency;
+    result.onOutcome = [this](const RequestObservation &observation) {
+        this->capacity.onOutcome(observation, this->now);
+    };
+    return result;
+}
 
 SteeringDecision PacketSteering::decide(const FlowPacket &packet, TimePoint now)
 {
+    this->now = now;
     if (!this->routes.isLoaded())
         return internal::drop(SteeringReason::NotReady);
     const Route *route = this->routes.find(packet.route);
@@ -236,6 +249,7 @@
 
 std::optional<TimePoint> PacketSteering::tick(TimePoint now)
 {
+    this->now = now;
     if (now - this->lastSweepAt > internal::sweepInterval) {
         this->lastSweepAt = now;
         this->observer.removeExpired(now);
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "capacity/CapacityLearner.h"
 #include "coldstart/ColdStartPolicy.h"
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
@@ -108,6 +109,7 @@
     [[nodiscard]] const PlacementChoice &lastChoice() const { return this->choice; }
 
 private:
+    [[nodiscard]] FlowObserverHooks observerHooks();
     [[nodiscard]] SteeringDecision decideSyn(const FlowPacket &packet, const Route &route,
                                              TimePoint now);
     [[nodiscard]] SteeringDecision decideEstablished(const FlowPacket &packet, const Route &route,
@@ -132,7 +134,9 @@
     Random &random;
     SteeringHooks hooks;
     FailureDetector detector;
+    CapacityLearner capacity;
     FlowObserver observer;
+    TimePoint now{};
     Placement placement;
     ColdStartPolicy coldStart;
     PlacementChoice choice;
