Eject upstreams that accept connections and fail requests

Cause: suspicion of an upstream ends with a probe that connects, so an upstream that hangs or refuses part of its requests kept its share of new flows.

Change: EjectionPolicy judges the outcomes that this instance observes (two failures in 3 s, one request in ten, three times the share of the service's other upstreams) and limits ejections to a fifth of a service. Placement avoids ejected upstreams if another one is left and places trial flows after a back-off; three answers in a row end an ejection, a failing service ends all of its ejections. Log lines upstream_ejected, upstream_on_trial and upstream_reinstated, counters ejected, ejection_limit and ejection_trial, gauge ejected_upstreams. OutlierDetector and EjectionPolicy share the bound EjectionLimit.

--- a/src/admission/OutlierDetector.cpp
+++ b/src/admission/OutlierDetector.cpp
@@ -1,5 +1,7 @@
 #include "admission/OutlierDetector.h"
 
+#include "ejection/EjectionLimit.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -88,10 +90,8 @@
 
 std::size_t OutlierDetector::ejectionLimit() const
 {
-    constexpr std::size_t ejectionDivisor = 3;
-    if (this->serviceSize < 2)
-        return 0;
-    return std::max<std::size_t>(1, this->serviceSize / ejectionDivisor);
+    constexpr EjectionLimit limit{3, 2};
+    return limit.of(this->serviceSize);
 }
 
 std::size_t OutlierDetector::ejectedCount() const
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -36,6 +36,19 @@
     return "upstream_alive";
 }
 
+std::string_view ejectionEvent(EjectionChange::Kind kind)
+{
+    switch (kind) {
+    case EjectionChange::Kind::Ejected:
+        return "upstream_ejected";
+    case EjectionChange::Kind::OnTrial:
+        return "upstream_on_trial";
+    case EjectionChange::Kind::Reinstated:
+        return "upstream_reinstated";
+    }
+    return "upstream_ejected";
+}
+
 } // namespace internal
 
 Balancer::Balancer(BalancerOptions options, const Scheduler &scheduler, ObjectSource &store,
@@ -48,6 +61,7 @@
     , log(log)
     , hooks(std::move(hooks))
     , directory([this](const DirectoryChange &change) { this->logDirectoryChange(change); })
+    , ejection(this->directory, counters, this->ejectionHooks())
     , steering({this->options.self.domain, this->options.flowCapacity}, this->directory,
                this->routes, random, this->steeringHooks())
     , sources(this->options.self, this->options.seeds, this->options.firstStart)
@@ -86,10 +100,29 @@
                                       {"reason", "upstream_unreachable"},
                                       {"upstream", this->directory.at(upstream).entry.name}});
     };
-    result.latency = this->hooks.latency;
+    result.latency = this->observerHooks();
+    return result;
+}
+
+FlowObserverHooks Balancer::observerHooks()
+{
+    FlowObserverHooks result = this->hooks.latency;
+    if (this->options.ejection) {
+        result.onOutcome = [this](const RequestObservation &observation) {
+            this->onOutcome(observation);
+        };
+    }
     return result;
 }
 
+EjectionHooks Balancer::ejectionHooks()
+{
+    return {[this](const EjectionChange &change) { this->onEjectionChange(change); },
+            [](std::string_view /*upstream*/) {
+                return true;
+            }};
+}
+
 SourcedStoreHooks Balancer::sourceHooks()
 {
     return {this->hooks.connectPeer, [this] { this->mirror.refusePendingDirect(); },
@@ -173,6 +206,8 @@
     const SteeringDecision decision = this->steering.decide(packet, now);
     ++this->decisions.at(static_cast<std::size_t>(decision.reason));
     this->logDecision(decision, packet, datagram);
+    if (const UpstreamIndex trial = this->steering.takeTrial(); trial != noUpstream)
+        this->ejection.onTrialPlaced(trial);
     return decision;
 }
 
@@ -248,6 +283,7 @@
 void Balancer::onViewChange()
 {
     this->scheduleTick();
+    this->ejection.setInstancesPerDomain(this->sources.instancesInDomain());
     if (!this->view.isComplete())
         return;
     if (!std::exchange(this->ready, true))
@@ -282,8 +318,34 @@
                                        {"flows", changed.openFlows}});
 }
 
+void Balancer::onOutcome(const RequestObservation &observation)
+{
+    if (this->hooks.latency.onOutcome)
+        this->hooks.latency.onOutcome(observation);
+    const Route *route = this->routes.find(observation.route);
+    if (route != nullptr && route->objective > Duration::zero())
+        this->ejection.observe(observation, this->scheduler.now());
+}
+
+void Balancer::onEjectionChange(const EjectionChange &change)
+{
+    const UpstreamEntry &entry = this->directory.at(change.upstream).entry;
+    this->log.info(internal::ejectionEvent(change.kind),
+                   {{"upstream", entry.name},
+                    {"service", entry.service},
+                    {"evidence", toString(change.evidence)},
+                    {"failures", change.failures},
+                    {"requests", change.requests},
+                    {"service_share", change.serviceShare},
+                    {"delay_ms", toMilliseconds(change.delay)}});
+}
+
 void Balancer::logDirectoryChange(const DirectoryChange &change)
 {
+    // Neither a new process nor another upstream at this index has failed a request.
+    if (change.kind == DirectoryChange::Kind::Restarted
+        || change.kind == DirectoryChange::Kind::Added)
+        this->ejection.forget(change.upstream);
     const Upstream &changed = this->directory.at(change.upstream);
     const UpstreamEntry &entry = changed.entry;
     this->log.info("upstream_entry", {{"upstream", entry.name},
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -5,6 +5,7 @@
 #include "base/Scheduler.h"
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
+#include "ejection/EjectionPolicy.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
 #include "view/MemberRegistration.h"
@@ -95,6 +96,9 @@
     [[nodiscard]] ObjectMirror &objectMirror() { return this->mirror; }
     [[nodiscard]] const RouteTable &routeTable() const { return this->routes; }
 
+    /** \returns the number of upstreams that new flows avoid because their requests fail. */
+    [[nodiscard]] std::size_t ejectedUpstreams() const { return this->ejection.ejectedCount(); }
+
     /** \returns the number of packets decided for this reason. */
     [[nodiscard]] std::uint64_t decisionCount(SteeringReason reason) const
     {
@@ -103,6 +107,8 @@
 
 private:
     [[nodiscard]] SteeringHooks steeringHooks();
+    [[nodiscard]] FlowObserverHooks observerHooks();
+    [[nodiscard]] EjectionHooks ejectionHooks();
     [[nodiscard]] SourcedStoreHooks sourceHooks();
     [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
@@ -115,6 +121,8 @@
     void onViewChange();
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
+    void onOutcome(const RequestObservation &observation);
+    void onEjectionChange(const EjectionChange &change);
     void logDirectoryChange(const DirectoryChange &change);
     [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
@@ -127,6 +135,7 @@
     BalancerHooks hooks;
     UpstreamDirectory directory;
     RouteTable routes;
+    EjectionPolicy ejection;
     PacketSteering steering;
     ViewSources sources;
     SourcedStore sourcedStore;
--- a/src/balancer/BalancerOptions.h
+++ b/src/balancer/BalancerOptions.h
@@ -17,6 +17,7 @@
     Duration stopDelay{};         //!< Packets are forwarded for this long after a stop begins.
     bool firstStart = false;      //!< Whether the deployment starts for the first time.
     std::vector<Endpoint> seeds;  //!< Peer addresses of instances that are asked at the start.
+    bool ejection = false;        //!< Whether new flows avoid upstreams whose requests fail.
 };
 
 } // namespace bulrushgap::balance
--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -3,6 +3,7 @@
 #include "base/Time.h"
 #include "coldstart/ColdStartBudget.h"
 #include "directory/UpstreamEntry.h"
+#include "ejection/EjectionMark.h"
 #include "health/UpstreamHealth.h"
 
 #include <cstdint>
@@ -27,6 +28,7 @@
     TimePoint coldUntil{};
     ColdStartBudget coldBudget;
     UpstreamHealth health;
+    EjectionMark ejection;
     bool isMonitored = false;      //!< In the failure detector's list of monitored upstreams.
     bool replaced = false;         //!< Another listed upstream has its address.
     std::uint32_t openFlows = 0;   //!< Flows of this instance.
--- /dev/null
+++ b/src/ejection/EjectionPolicy.cpp
@@ -0,0 +1,265 @@
+#include "ejection/EjectionPolicy.h"
+
+#include "ejection/EjectionLimit.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+constexpr std::uint32_t minFailures = 2;
+constexpr double minFailedShare = 0.1;
+constexpr double serviceShareFactor = 3.0;
+
+/** At this share of the other upstreams no upstream can fail three times as often. */
+constexpr double serviceWideShare = 1.0 / serviceShareFactor;
+constexpr std::uint32_t minServiceWideRequests = 10;
+
+constexpr EjectionLimit ejectionLimit{5, 3};
+
+constexpr Duration firstDelay = std::chrono::seconds(2);
+constexpr unsigned maxLevel = 3; // 16 s.
+constexpr Duration levelRetention = std::chrono::seconds(30);
+constexpr unsigned answersToReturn = 3;
+
+/** Another instance places trials after this time if no outcome of one became known. */
+constexpr Duration takeoverDelay = std::chrono::seconds(4);
+
+/** An ejection without outcomes of trials must not use up the limit. */
+constexpr Duration maxWithoutTrial = std::chrono::seconds(30);
+
+/** \returns the failed share, rounded down while few requests are known. */
+double failedShare(const OutcomeCounts &counts)
+{
+    return counts.failures / (counts.requests + 1.0);
+}
+
+bool isFailing(const OutcomeCounts &counts, double serviceShare)
+{
+    const double needed = std::max(minFailedShare, serviceShareFactor * serviceShare);
+    return counts.failures >= minFailures && failedShare(counts) >= needed;
+}
+
+} // namespace internal
+
+std::string_view toString(EjectionEvidence evidence)
+{
+    static constexpr std::array<std::string_view, static_cast<std::size_t>(EjectionEvidence::Count)>
+        names{"own", "shared", "trial", "service_wide", "expired", "told"};
+    return names.at(static_cast<std::size_t>(evidence));
+}
+
+double EjectionPolicy::ServiceView::cautiousShare() const
+{
+    return (this->own.failures + 1.0) / (this->own.requests + 1.0);
+}
+
+double EjectionPolicy::ServiceView::share() const
+{
+    return this->own.requests == 0 ? 0.0
+                                   : static_cast<double>(this->own.failures) / this->own.requests;
+}
+
+EjectionPolicy::EjectionPolicy(UpstreamDirectory &directory, Counters &counters,
+                               EjectionHooks hooks)
+    : directory(directory)
+    , counters(counters)
+    , hooks(std::move(hooks))
+{}
+
+void EjectionPolicy::observe(const RequestObservation &observation, TimePoint now)
+{
+    const UpstreamIndex upstream = observation.upstream;
+    const bool failed = observation.outcome != RequestOutcome::Answered;
+    this->stateOf(upstream).own.add({failed ? 1U : 0U, 1}, now);
+    if (this->directory.at(upstream).ejection.ejected)
+        this->observeEjected(upstream, failed, now);
+    else if (failed)
+        this->evaluate(upstream, now);
+}
+
+void EjectionPolicy::addReported(UpstreamIndex upstream, const OutcomeCounts &counts, TimePoint now)
+{
+    this->stateOf(upstream).reported.add(counts, now);
+    if (counts.failures == 0)
+        return;
+    if (this->directory.at(upstream).ejection.ejected)
+        this->observeEjected(upstream, true, now);
+    else
+        this->evaluate(upstream, now);
+}
+
+void EjectionPolicy::observeEjected(UpstreamIndex upstream, bool failed, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    // Before the end of the delay, the request belongs to a flow that was open before.
+    if (now < state.delayEnd)
+        return;
+    if (failed) {
+        EjectionChange change;
+        change.evidence = EjectionEvidence::Trial;
+        change.failures = 1;
+        change.requests = state.answers + 1;
+        return this->eject(upstream, change, now);
+    }
+    if (++state.answers >= internal::answersToReturn)
+        return this->reinstate(upstream, EjectionEvidence::Trial, now);
+    EjectionMark &mark = this->directory.at(upstream).ejection;
+    mark.nextTrial = std::min(mark.nextTrial, now);
+}
+
+void EjectionPolicy::onTrialPlaced(UpstreamIndex upstream)
+{
+    this->counters.add("ejection_trial");
+    EjectionChange change;
+    change.kind = EjectionChange::Kind::OnTrial;
+    change.upstream = upstream;
+    change.evidence = EjectionEvidence::Trial;
+    change.requests = this->stateOf(upstream).answers + 1;
+    this->hooks.onChange(change);
+}
+
+void EjectionPolicy::evaluate(UpstreamIndex upstream, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    const OutcomeCounts own = state.own.total(now);
+    OutcomeCounts all = state.reported.total(now);
+    const bool hasReports = all.requests > 0;
+    all += own;
+    if (all.failures < internal::minFailures)
+        return;
+    const std::string &service = this->directory.at(upstream).entry.service;
+    this->reinstateExpired(service, now);
+    const ServiceView view = this->serviceOf(upstream, now);
+    if (view.own.requests >= internal::minServiceWideRequests
+        && view.share() >= internal::serviceWideShare)
+        return this->reinstateService(service, now);
+
+    // Other instances report only upstreams with failures, so the requests of those that saw none
+    // are estimated.
+    const double expected = view.requestsOfOne * this->instancesPerDomain;
+    if (hasReports)
+        all.requests = std::max(all.requests, static_cast<std::uint32_t>(expected));
+    const double serviceShare = view.cautiousShare();
+    const bool byOwn = internal::isFailing(own, serviceShare);
+    if (!byOwn && !(hasReports && internal::isFailing(all, serviceShare)))
+        return;
+    if (view.ejected >= view.limit) {
+        this->counters.add("ejection_limit");
+        return;
+    }
+    EjectionChange change;
+    change.evidence = byOwn ? EjectionEvidence::Own : EjectionEvidence::Shared;
+    change.failures = byOwn ? own.failures : all.failures;
+    change.requests = byOwn ? own.requests : all.requests;
+    change.serviceShare = view.share();
+    this->eject(upstream, change, now);
+}
+
+EjectionPolicy::ServiceView EjectionPolicy::serviceOf(UpstreamIndex upstream, TimePoint now)
+{
+    const UpstreamEntry &entry = this->directory.at(upstream).entry;
+    const auto candidates = this->directory.candidates(entry.service);
+    ServiceView view;
+    view.limit = internal::ejectionLimit.of(candidates.size());
+    std::uint32_t domainRequests = 0;
+    std::size_t domainUpstreams = 0;
+    for (const UpstreamIndex index : candidates) {
+        const Upstream &other = this->directory.at(index);
+        if (other.ejection.ejected)
+            ++view.ejected;
+        if (index == upstream || other.ejection.ejected)
+            continue;
+        const OutcomeCounts own = this->stateOf(index).own.total(now);
+        view.own += own;
+        if (other.entry.domain != entry.domain)
+            continue;
+        domainRequests += own.requests;
+        ++domainUpstreams;
+    }
+    if (domainUpstreams > 0)
+        view.requestsOfOne = static_cast<double>(domainRequests) / domainUpstreams;
+    return view;
+}
+
+void EjectionPolicy::eject(UpstreamIndex upstream, EjectionChange change, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    const bool again
+        = state.delayEnd != TimePoint{} && now - state.delayEnd < internal::levelRetention;
+    state.level = again ? std::min(internal::maxLevel, state.level + 1) : 0;
+    const Duration delay = internal::firstDelay * (1 << state.level);
+    state.delayEnd = now + delay;
+    state.answers = 0;
+    Upstream &subject = this->directory.at(upstream);
+    const bool placesTrials = this->hooks.placesTrials(subject.entry.name);
+    subject.ejection
+        = {true, placesTrials ? state.delayEnd : state.delayEnd + internal::takeoverDelay};
+    this->counters.add("ejected");
+    change.kind = EjectionChange::Kind::Ejected;
+    change.upstream = upstream;
+    change.delay = delay;
+    this->hooks.onChange(change);
+}
+
+void EjectionPolicy::reinstate(UpstreamIndex upstream, EjectionEvidence evidence, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    EjectionChange change;
+    change.kind = EjectionChange::Kind::Reinstated;
+    change.upstream = upstream;
+    change.evidence = evidence;
+    change.requests = state.answers;
+    state.own.clear();
+    state.reported.clear();
+    state.answers = 0;
+    state.delayEnd = std::min(state.delayEnd, now);
+    this->directory.at(upstream).ejection = {};
+    this->hooks.onChange(change);
+}
+
+void EjectionPolicy::reinstateExpired(std::string_view service, TimePoint now)
+{
+    for (const UpstreamIndex index : this->directory.candidates(service)) {
+        const bool isEjected = this->directory.at(index).ejection.ejected;
+        if (isEjected && now - this->stateOf(index).delayEnd > internal::maxWithoutTrial)
+            this->reinstate(index, EjectionEvidence::Expired, now);
+    }
+}
+
+void EjectionPolicy::reinstateService(std::string_view service, TimePoint now)
+{
+    for (const UpstreamIndex index : this->directory.candidates(service)) {
+        if (this->directory.at(index).ejection.ejected)
+            this->reinstate(index, EjectionEvidence::ServiceWide, now);
+    }
+}
+
+void EjectionPolicy::forget(UpstreamIndex upstream)
+{
+    this->stateOf(upstream) = {};
+    this->directory.at(upstream).ejection = {};
+}
+
+std::size_t EjectionPolicy::ejectedCount() const
+{
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < this->directory.size(); ++i) {
+        const Upstream &upstream = this->directory.at(static_cast<UpstreamIndex>(i));
+        if (upstream.ejection.ejected)
+            ++count;
+    }
+    return count;
+}
+
+EjectionPolicy::State &EjectionPolicy::stateOf(UpstreamIndex upstream)
+{
+    if (upstream >= this->states.size())
+        this->states.resize(this->directory.size());
+    return this->states[upstream];
+}
+
+} // namespace bulrushgap::balance
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -15,12 +15,16 @@
     = 0.05; //!< A long-lived flow has a request running only a small part of the time.
 constexpr double crossDomainPenalty = 1.0;
 constexpr double slowStartPenalty = 1.0;
+constexpr double ejectedPenalty = 50.0;
 constexpr double suspectPenalty = 100.0;
 constexpr double triedDomainPenalty = 200.0;
 constexpr double triedPenalty = 300.0;
 constexpr double refusingPenalty = 1'000.0;
 constexpr double maxJitter = 0.01;
 
+/** An upstream on trial has no load to compare and may be in another domain. */
+constexpr double trialPreference = 2.0;
+
 double livenessPenalty(Liveness liveness)
 {
     switch (liveness) {
@@ -35,6 +39,13 @@
     return 0.0;
 }
 
+/** \returns whether the flow would test an ejected upstream; a caller whose earlier attempt failed
+ * does not take part. */
+bool isTrial(const Upstream &upstream, const PlacementConstraints &constraints, TimePoint now)
+{
+    return constraints.tried.empty() && upstream.ejection.isTrialDue(constraints.idempotent, now);
+}
+
 } // namespace internal
 
 Placement::Placement(UpstreamDirectory &directory, std::string domain, Random &random)
@@ -76,6 +87,9 @@
         Upstream &upstream = this->directory.at(choice.upstream);
         if (now < upstream.coldUntil)
             static_cast<void>(upstream.coldBudget.take(now));
+        choice.isTrial = internal::isTrial(upstream, constraints, now);
+        if (choice.isTrial)
+            upstream.ejection.nextTrial = now + EjectionMark::trialTimeout;
     }
     return choice;
 }
@@ -115,6 +129,10 @@
     if (now < upstream.coldUntil)
         score += internal::slowStartPenalty;
     score += internal::livenessPenalty(upstream.health.liveness());
+    if (internal::isTrial(upstream, constraints, now))
+        score -= internal::trialPreference;
+    else if (upstream.ejection.ejected)
+        score += internal::ejectedPenalty;
     if (constraints.avoidTriedDomains && this->isInTriedDomain(upstream, constraints))
         score += internal::triedDomainPenalty;
     return score;
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -17,6 +17,7 @@
 {
     std::span<const UpstreamIndex> tried; //!< Upstreams that did not answer this caller.
     bool avoidTriedDomains = false;       //!< Avoid their failure domains as well.
+    bool idempotent = true;               //!< The caller may retry its requests.
 };
 
 /** \brief Chosen upstream, with the inputs of the decision for the log. */
@@ -27,6 +28,7 @@
     std::size_t withoutBudget = 0; //!< Cold upstreams without budget for a flow now.
     std::size_t unreachable = 0;   //!< Upstreams that are confirmed down.
     double score = 0.0;
+    bool isTrial = false; //!< The upstream is ejected and receives the flow to test it.
 };
 
 /** \brief Chooses the upstream of a new flow.
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -40,7 +40,8 @@
             settings.flowCapacity,
             settings.stopDelay,
             settings.firstStart,
-            settings.seeds};
+            settings.seeds,
+            settings.ejection};
 }
 
 } // namespace internal
@@ -108,6 +109,9 @@
                              {"packets", this->settings.packetAddress.toString()},
                              {"store", this->settings.store.toString()},
                              {"version", BULRUSHGAP_VERSION}});
+    this->metrics.addGauge("ejected_upstreams", [this] {
+        return static_cast<double>(this->balancer.ejectedUpstreams());
+    });
     this->operationsServer.route("GET", "/-/ready",
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
--- a/src/service/BalancerSettings.cpp
+++ b/src/service/BalancerSettings.cpp
@@ -1,15 +1,20 @@
 #include "service/BalancerSettings.h"
 
+#include <algorithm>
 #include <array>
+#include <string_view>
 
 namespace bulrushgap {
 
 namespace internal {
 
+/** Name of the requirement that callers lose no requests at upstreams that accept and fail them. */
+constexpr std::string_view healthRequirement = "health";
+
 constexpr std::int64_t maxStopDelayMs = 60'000;
 
 // clang-format off
-constexpr std::array<Field, 12> balancerFields{{
+constexpr std::array<Field, 14> balancerFields{{
     {"name", FieldType::Name, "", "", 1, 128, "", "name of the instance, unique in the deployment"},
     {"domain", FieldType::Name, "", "", 1, 128, "", "failure domain of the instance"},
     {"packetAddress", FieldType::Endpoint, "", "", 0, 0, "", "UDP, packets of callers; packets to callers go to its port"},
@@ -22,6 +27,8 @@
     {"timers.stopDelayMs", FieldType::Integer, "ms", "1500", 0, maxStopDelayMs, "", "from SIGTERM to the end; packets are still passed on"},
     {"linkMbps", FieldType::Number, "Mbit/s", "0", 0, 1'000'000, "", "link rate; instances with more are read by others first"},
     {"firstStart", FieldType::Flag, "", "false", 0, 0, "", "the whole deployment starts for the first time"},
+    {"ejection.enabled", FieldType::Flag, "", "false", 0, 0, "", "new flows avoid upstreams whose requests fail; takes effect at a restart"},
+    {"requirements", FieldType::TextList, "", "[]", 0, 64, "", "what the platform demands: `health` has the effect of `ejection.enabled`, other names none"},
 }};
 // clang-format on
 
@@ -40,6 +47,10 @@
         = static_cast<std::uint32_t>(view.integer("limits.logLinesPerSecond"));
     settings.firstStart = view.flag("firstStart");
     settings.stopDelay = view.milliseconds("timers.stopDelayMs");
+    settings.requirements = view.texts("requirements");
+    settings.ejection = view.flag("ejection.enabled")
+                        || std::ranges::find(settings.requirements, healthRequirement)
+                               != settings.requirements.end();
     settings.linkMbps = static_cast<std::uint32_t>(view.number("linkMbps"));
     return settings;
 }
@@ -51,6 +62,14 @@
     return SettingsReader(internal::balancerFields);
 }
 
+boost::leaf::result<BalancerSettings> BalancerSettings::parse(std::string_view text)
+{
+    auto view = reader().read(text);
+    if (!view)
+        return view.error();
+    return internal::balancerSettings(*view);
+}
+
 boost::leaf::result<BalancerSettings> BalancerSettings::load(const std::string &path)
 {
     auto view = reader().readFile(path);
--- a/src/service/BalancerSettings.h
+++ b/src/service/BalancerSettings.h
@@ -27,11 +27,17 @@
     std::uint32_t logLinesPerSecond = 0;
     Duration stopDelay{};
     std::uint32_t linkMbps = 0;
+    std::vector<std::string>
+        requirements;        //!< What the platform demands; unknown names are ignored.
+    bool ejection = false;   //!< Whether new flows avoid upstreams whose requests fail.
     bool firstStart = false; //!< Set while the whole deployment starts for the first time.
 
     /** \returns a reader that validates these settings. */
     [[nodiscard]] static SettingsReader reader();
 
+    /** \returns the settings of a JSON text, or the error SettingsFaults. */
+    [[nodiscard]] static boost::leaf::result<BalancerSettings> parse(std::string_view text);
+
     /** \returns the settings, or the error SettingsFaults. */
     [[nodiscard]] static boost::leaf::result<BalancerSettings> load(const std::string &path);
 };
--- a/src/service/Field.cpp
+++ b/src/service/Field.cpp
@@ -45,6 +45,14 @@
     return text != nullptr && Endpoint::parse(std::string_view(*text)).has_value();
 }
 
+constexpr std::size_t maxListedTextLength = 128;
+
+bool isListedText(const boost::json::value &value)
+{
+    const auto *text = value.if_string();
+    return text != nullptr && text->size() <= maxListedTextLength;
+}
+
 bool isValidText(const Field &field, std::string_view text)
 {
     switch (field.type) {
@@ -90,6 +98,9 @@
     case FieldType::EndpointList:
         return list != nullptr && isWithinBounds(field, list->size())
                && std::ranges::all_of(*list, isEndpoint);
+    case FieldType::TextList:
+        return list != nullptr && isWithinBounds(field, list->size())
+               && std::ranges::all_of(*list, isListedText);
     case FieldType::Object:
         return value.is_object();
     case FieldType::ObjectList:
@@ -136,6 +147,9 @@
         return "IPv4 address and port";
     case FieldType::EndpointList:
         return "list of " + internal::formatBounds(field) + " IPv4 addresses with port";
+    case FieldType::TextList:
+        return "list of " + internal::formatBounds(field) + " texts of at most "
+               + std::to_string(internal::maxListedTextLength) + " characters";
     case FieldType::Secret:
         return "text of " + internal::formatBounds(field) + " hexadecimal digits";
     case FieldType::Choice:
--- a/src/service/Field.h
+++ b/src/service/Field.h
@@ -18,6 +18,7 @@
     Flag,         //!< true or false.
     Endpoint,     //!< "a.b.c.d:port".
     EndpointList, //!< The bounds limit the number of entries.
+    TextList,     //!< List of texts; the bounds limit the number of entries.
     Secret,       //!< Hexadecimal digits, never printed; the bounds limit their number.
     Choice,       //!< One of the values in Field::choices.
     Object,       //!< JSON object whose members are validated elsewhere.
--- a/src/service/SettingsView.cpp
+++ b/src/service/SettingsView.cpp
@@ -54,6 +54,14 @@
     return endpoints;
 }
 
+std::vector<std::string> SettingsView::texts(std::string_view path) const
+{
+    std::vector<std::string> texts;
+    for (const auto &entry : this->list(path))
+        texts.emplace_back(std::string_view(entry.get_string()));
+    return texts;
+}
+
 const boost::json::object &SettingsView::object(std::string_view path) const
 {
     return this->at(path).get_object();
--- a/src/service/SettingsView.h
+++ b/src/service/SettingsView.h
@@ -30,6 +30,7 @@
     [[nodiscard]] bool flag(std::string_view path) const;
     [[nodiscard]] Endpoint endpoint(std::string_view path) const;
     [[nodiscard]] std::vector<Endpoint> endpoints(std::string_view path) const;
+    [[nodiscard]] std::vector<std::string> texts(std::string_view path) const;
     [[nodiscard]] const boost::json::object &object(std::string_view path) const;
     [[nodiscard]] const boost::json::array &list(std::string_view path) const;
 
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -163,7 +163,8 @@
 SteeringDecision PacketSteering::place(const FlowPacket &packet, const Route &route,
                                        FlowState *flow, TimePoint now)
 {
-    const PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
+    PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
+    constraints.idempotent = route.kind == RequestKind::Idempotent;
     this->choice = this->placement.choose(this->serviceFor(route), constraints, now);
     if (this->choice.upstream == noUpstream)
         return internal::reset(internal::refusalReason(this->choice));
@@ -246,6 +247,11 @@
     return this->detector.nextTick();
 }
 
+UpstreamIndex PacketSteering::takeTrial()
+{
+    return std::exchange(this->choice.isTrial, false) ? this->choice.upstream : noUpstream;
+}
+
 void PacketSteering::setInstancesPerDomain(unsigned instances)
 {
     this->placement.setInstancesPerDomain(std::max(1U, instances));
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -107,6 +107,11 @@
     [[nodiscard]] std::size_t flowCount() const { return this->observer.flowCount(); }
     [[nodiscard]] const PlacementChoice &lastChoice() const { return this->choice; }
 
+    /** \returns the upstream that the last new flow tests; noUpstream if it tests none or was
+     * taken.
+     */
+    [[nodiscard]] UpstreamIndex takeTrial();
+
 private:
     [[nodiscard]] SteeringDecision decideSyn(const FlowPacket &packet, const Route &route,
                                              TimePoint now);
