--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -36,6 +36,19 @@
     return "upstream_alive";
 }
 
+std::string_view ejectionEvent(EjectionChange::Kind kind)
+{
+    switch (kind) {
+    case EjectionChange::Kind::Ejected:
+        return "upstream_ejected";
+    case EjectionChange::Kind::OnTrial:
+        return "upstream_on_trial";
+    case EjectionChange::Kind::Reinstated:
+        return "upstream_reinstated";
+    }
+    return "upstream_ejected";
+}
+
 } // namespace internal
 
 Balancer::Balancer(BalancerOptions options, const Scheduler &scheduler, ObjectSource &store,
@@ -48,8 +61,14 @@
     , log(log)
     , hooks(std::move(hooks))
     , directory([this](const DirectoryChange &change) { this->logDirectoryChange(change); })
-    , steering({this->options.self.domain, this->options.flowCapacity}, this->directory,
-               this->routes, random, this->steeringHooks())
+    , ejection(this->directory, counters, this->ejectionHooks())
+    , capacity(this->directory,
+               [this](UpstreamIndex upstream, double before, double after) {
+                   this->onCapacityChange(upstream, before, after);
+               })
+    , steering(
+          {this->options.self.domain, this->options.flowCapacity, this->options.learnedCapacity},
+          this->directory, this->routes, random, this->steeringHooks())
     , sources(this->options.self, this->options.seeds, this->options.firstStart)
     , sourcedStore(scheduler, store, this->sources, counters, log, this->sourceHooks())
     , mirror(scheduler, this->mirrorHooks())
@@ -86,10 +105,29 @@
                                       {"reason", "upstream_unreachable"},
                                       {"upstream", this->directory.at(upstream).entry.name}});
     };
-    result.latency = this->hooks.latency;
+    result.latency = this->observerHooks();
     return result;
 }
 
+FlowObserverHooks Balancer::observerHooks()
+{
+    FlowObserverHooks result = this->hooks.latency;
+    if (this->options.ejection || this->options.learnedCapacity) {
+        result.onOutcome = [this](const RequestObservation &observation) {
+            this->onOutcome(observation);
+        };
+    }
+    return result;
+}
+
+EjectionHooks Balancer::ejectionHooks()
+{
+    return {[this](const EjectionChange &change) { this->onEjectionChange(change); },
+            [](std::string_view /*upstream*/) {
+                return true;
+            }};
+}
+
 SourcedStoreHooks Balancer::sourceHooks()
 {
     return {this->hooks.connectPeer, [this] { this->mirror.refusePendingDirect(); },
@@ -173,6 +211,8 @@
     const SteeringDecision decision = this->steering.decide(packet, now);
     ++this->decisions.at(static_cast<std::size_t>(decision.reason));
     this->logDecision(decision, packet, datagram);
+    if (const UpstreamIndex trial = this->steering.takeTrial(); trial != noUpstream)
+        this->ejection.onTrialPlaced(trial);
     return decision;
 }
 
@@ -248,6 +288,7 @@
 void Balancer::onViewChange()
 {
     this->scheduleTick();
+    this->ejection.setInstancesPerDomain(this->sources.instancesInDomain());
     if (!this->view.isComplete())
         return;
     if (!std::exchange(this->ready, true))
@@ -282,8 +323,46 @@
                                        {"flows", changed.openFlows}});
 }
 
+void Balancer::onOutcome(const RequestObservation &observation)
+{
+    if (this->hooks.latency.onOutcome)
+        this->hooks.latency.onOutcome(observation);
+    if (this->options.learnedCapacity)
+        this->capacity.onOutcome(observation, this->scheduler.now());
+    const Route *route = this->routes.find(observation.route);
+    if (this->options.ejection && route != nullptr && route->objective > Duration::zero())
+        this->ejection.observe(observation, this->scheduler.now());
+}
+
+void Balancer::onEjectionChange(const EjectionChange &change)
+{
+    const UpstreamEntry &entry = this->directory.at(change.upstream).entry;
+    this->log.info(internal::ejectionEvent(change.kind),
+                   {{"upstream", entry.name},
+                    {"service", entry.service},
+                    {"evidence", toString(change.evidence)},
+                    {"failures", change.failures},
+                    {"requests", change.requests},
+                    {"service_share", change.serviceShare},
+                    {"delay_ms", toMilliseconds(change.delay)}});
+}
+
+void Balancer::onCapacityChange(UpstreamIndex upstream, double before, double after)
+{
+    this->counters.add(after < before ? "capacity_lowered" : "capacity_raised");
+    const UpstreamEntry &entry = this->directory.at(upstream).entry;
+    this->log.info("upstream_capacity", {{"upstream", entry.name},
+                                         {"service", entry.service},
+                                         {"before", before},
+                                         {"after", after}});
+}
+
 void Balancer::logDirectoryChange(const DirectoryChange &change)
 {
+    // Neither a new process nor another upstream at this index has failed a request.
+    if (change.kind == DirectoryChange::Kind::Restarted
+        || change.kind == DirectoryChange::Kind::Added)
+        this->ejection.forget(change.upstream);
     const Upstream &changed = this->directory.at(change.upstream);
     const UpstreamEntry &entry = changed.entry;
     this->log.info("upstream_entry", {{"upstream", entry.name},
--- a/src/capacity/CapacityLearner.cpp
+++ b/src/capacity/CapacityLearner.cpp
@@ -1,5 +1,6 @@
 #include "capacity/CapacityLearner.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -45,4 +46,23 @@
         this->onChange(upstream, before, factor);
 }
 
+CapacitySpread spreadOf(const UpstreamDirectory &directory, TimePoint now)
+{
+    CapacitySpread spread;
+    double sum = 0.0;
+    std::size_t count = 0;
+    for (UpstreamIndex index = 0; index < directory.size(); ++index) {
+        const Upstream &upstream = directory.at(index);
+        if (!upstream.registered)
+            continue;
+        const double factor = upstream.capacity.factor(now);
+        spread.least = std::min(spread.least, factor);
+        sum += factor;
+        ++count;
+    }
+    if (count > 0)
+        spread.mean = sum / static_cast<double>(count);
+    return spread;
+}
+
 } // namespace bulrushgap::balance
--- a/src/capacity/CapacityLearner.h
+++ b/src/capacity/CapacityLearner.h
@@ -35,4 +35,13 @@
     boost::unordered_flat_map<std::uint64_t, UsualTime> byRoute;
 };
 
+/** \brief Learned capacities of the registered upstreams. */
+struct CapacitySpread
+{
+    double least = 1.0;
+    double mean = 1.0;
+};
+
+[[nodiscard]] CapacitySpread spreadOf(const UpstreamDirectory &directory, TimePoint now);
+
 } // namespace bulrushgap::balance
--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -4,6 +4,7 @@
 #include "capacity/CapacityEstimate.h"
 #include "coldstart/ColdStartBudget.h"
 #include "directory/UpstreamEntry.h"
+#include "ejection/EjectionMark.h"
 #include "health/UpstreamHealth.h"
 
 #include <cstdint>
@@ -30,6 +31,7 @@
     UpstreamHealth health;
     CapacityEstimate capacity;     //!< Of this incarnation.
     double reportedCapacity = 1.0; //!< Factor at the last report of a change.
+    EjectionMark ejection;
     bool isMonitored = false;      //!< In the failure detector's list of monitored upstreams.
     bool replaced = false;         //!< Another listed upstream has its address.
     std::uint32_t openFlows = 0;   //!< Flows of this instance.
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -40,7 +40,9 @@
             settings.flowCapacity,
             settings.stopDelay,
             settings.firstStart,
-            settings.seeds};
+            settings.seeds,
+            settings.ejection,
+            settings.learnedCapacity};
 }
 
 } // namespace internal
@@ -108,6 +110,13 @@
                              {"packets", this->settings.packetAddress.toString()},
                              {"store", this->settings.store.toString()},
                              {"version", BULRUSHGAP_VERSION}});
+    this->metrics.addGauge("ejected_upstreams", [this] {
+        return static_cast<double>(this->balancer.ejectedUpstreams());
+    });
+    this->metrics.addGauge("upstream_capacity_least",
+                           [this] { return this->balancer.capacitySpread().least; });
+    this->metrics.addGauge("upstream_capacity_mean",
+                           [this] { return this->balancer.capacitySpread().mean; });
     this->operationsServer.route("GET", "/-/ready",
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -58,26 +58,16 @@
                            [this](UpstreamIndex upstream) {
                                this->resetPendingFlows(upstream);
                            }})
-    , capacity(directory, {})
-    , observer(settings.flowCapacity, directory, this->detector, this->observerHooks())
+    , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
     , placement(directory, std::move(settings.domain), random)
     , coldStart(directory, routes, this->hooks.isBudgetSharer)
 {
-    this->placement.useLearnedCapacity();
-}
-
-FlowObserverHooks PacketSteering::observerHooks()
-{
-    FlowObserverHooks result = this->hooks.latency;
-    result.onOutcome = [this](const RequestObservation &observation) {
-        this->capacity.onOutcome(observation, this->now);
-    };
-    return result;
+    if (settings.learnedCapacity)
+        this->placement.useLearnedCapacity();
 }
 
 SteeringDecision PacketSteering::decide(const FlowPacket &packet, TimePoint now)
 {
-    this->now = now;
     if (!this->routes.isLoaded())
         return internal::drop(SteeringReason::NotReady);
     const Route *route = this->routes.find(packet.route);
@@ -176,7 +166,8 @@
 SteeringDecision PacketSteering::place(const FlowPacket &packet, const Route &route,
                                        FlowState *flow, TimePoint now)
 {
-    const PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
+    PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
+    constraints.idempotent = route.kind == RequestKind::Idempotent;
     this->choice = this->placement.choose(this->serviceFor(route), constraints, now);
     if (this->choice.upstream == noUpstream)
         return internal::reset(internal::refusalReason(this->choice));
@@ -249,7 +240,6 @@
 
 std::optional<TimePoint> PacketSteering::tick(TimePoint now)
 {
-    this->now = now;
     if (now - this->lastSweepAt > internal::sweepInterval) {
         this->lastSweepAt = now;
         this->observer.removeExpired(now);
@@ -260,6 +250,11 @@
     return this->detector.nextTick();
 }
 
+UpstreamIndex PacketSteering::takeTrial()
+{
+    return std::exchange(this->choice.isTrial, false) ? this->choice.upstream : noUpstream;
+}
+
 void PacketSteering::setInstancesPerDomain(unsigned instances)
 {
     this->placement.setInstancesPerDomain(std::max(1U, instances));
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "capacity/CapacityLearner.h"
 #include "coldstart/ColdStartPolicy.h"
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
@@ -23,6 +22,7 @@
 {
     std::string domain;           //!< Failure domain of this instance.
     std::size_t flowCapacity = 0; //!< Maximum number of tracked flows.
+    bool learnedCapacity = false; //!< Slots are weighed by what was learned of an upstream.
 };
 
 /** \brief Callbacks of PacketSteering. */
@@ -108,8 +108,12 @@
     [[nodiscard]] std::size_t flowCount() const { return this->observer.flowCount(); }
     [[nodiscard]] const PlacementChoice &lastChoice() const { return this->choice; }
 
+    /** \returns the upstream that the last new flow tests; noUpstream if it tests none or was
+     * taken.
+     */
+    [[nodiscard]] UpstreamIndex takeTrial();
+
 private:
-    [[nodiscard]] FlowObserverHooks observerHooks();
     [[nodiscard]] SteeringDecision decideSyn(const FlowPacket &packet, const Route &route,
                                              TimePoint now);
     [[nodiscard]] SteeringDecision decideEstablished(const FlowPacket &packet, const Route &route,
@@ -134,9 +138,7 @@
     Random &random;
     SteeringHooks hooks;
     FailureDetector detector;
-    CapacityLearner capacity;
     FlowObserver observer;
-    TimePoint now{};
     Placement placement;
     ColdStartPolicy coldStart;
     PlacementChoice choice;
