Experiments name the failure domain of a fault

Cause: each fault of a failure domain chose a random one, so that no experiment could play two faults of the same domain, such as an evacuation followed by a partition. Change: a fault has an optional member 'domain'; unknown names are refused.

--- a/src/simulation/Experiment.cpp
+++ b/src/simulation/Experiment.cpp
@@ -65,11 +65,12 @@
 std::span<const Field> faultFields()
 {
     // clang-format off
-    static const std::array<Field, 4> fields{{
+    static const std::array<Field, 5> fields{{
         {"kind", FieldType::Choice, "", "", 0, 0, faultNames(), "what happens"},
         {"atMs", FieldType::Integer, "ms", "", 0, 3'600'000, "", "when, from the start of the load"},
         {"durationMs", FieldType::Integer, "ms", "4000", 0, 3'600'000, "", "for how long"},
         {"share", FieldType::Number, "", "0.3", 0, 1, "", "of the instances or upstreams that it concerns"},
+        {"domain", FieldType::Name, "", "\"\"", 0, 64, "", "of a fault of one failure domain; a random one if empty"},
     }};
     // clang-format on
     return fields;
@@ -137,7 +138,8 @@
         result.run.classes.push_back(requestClassOf(each));
     for (const SettingsView &each : entries(settings, "faults", faultFields(), faults))
         result.faults.push_back({faultKindOf(each.text("kind")), each.milliseconds("atMs"),
-                                 each.milliseconds("durationMs"), each.number("share")});
+                                 each.milliseconds("durationMs"), each.number("share"),
+                                 each.text("domain")});
     return result;
 }
 
@@ -153,6 +155,13 @@
         if (!known)
             faults.push_back({"classes", "names of services", "no service " + each.service});
     }
+    const auto &domains = experiment.run.domains;
+    for (const PlannedFault &each : experiment.faults) {
+        const bool known
+            = each.domain.empty() || std::ranges::find(domains, each.domain) != domains.end();
+        if (!known)
+            faults.push_back({"faults", "names of domains", "no domain " + each.domain});
+    }
 }
 
 } // namespace internal
--- a/src/simulation/FaultContext.cpp
+++ b/src/simulation/FaultContext.cpp
@@ -62,4 +62,9 @@
     return this->settings.domains.at(this->surroundings.random() % this->settings.domains.size());
 }
 
+const std::string &FaultContext::domainOf(const PlannedFault &fault)
+{
+    return fault.domain.empty() ? this->randomDomain() : fault.domain;
+}
+
 } // namespace bulrushgap::simulation
--- a/src/simulation/FaultContext.h
+++ b/src/simulation/FaultContext.h
@@ -43,6 +43,9 @@
     [[nodiscard]] std::vector<std::size_t> sampleUpstreams(double share);
     [[nodiscard]] const std::string &randomDomain();
 
+    /** \returns the domain of a fault, or a random one if it names none. */
+    [[nodiscard]] const std::string &domainOf(const PlannedFault &fault);
+
     [[nodiscard]] TimePoint now() const { return this->surroundings.loop.now(); }
     [[nodiscard]] Disturbances &disturbances() { return this->targets.checks.disturbances(); }
 
--- a/src/simulation/FaultSettings.cpp
+++ b/src/simulation/FaultSettings.cpp
@@ -58,8 +58,10 @@
         return std::to_string(
             std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
     };
+    const std::string where = this->domain.empty() ? "" : ", domain " + this->domain;
     return "at " + seconds(this->at) + " ms " + std::string(simulation::toString(this->kind))
-           + " for " + seconds(this->duration) + " ms, share " + std::to_string(this->share);
+           + " for " + seconds(this->duration) + " ms, share " + std::to_string(this->share)
+           + where;
 }
 
 } // namespace bulrushgap::simulation
--- a/src/simulation/FaultSettings.h
+++ b/src/simulation/FaultSettings.h
@@ -53,7 +53,8 @@
     FaultKind kind = FaultKind::InstanceKill;
     Duration at{}; //!< From the start of the traffic.
     Duration duration = std::chrono::seconds(4);
-    double share = 0.3; //!< Of the instances or upstreams that it concerns.
+    double share = 0.3;   //!< Of the instances or upstreams that it concerns.
+    std::string domain{}; //!< Of a fault of one failure domain; a random one if empty.
 
     /** \returns a line for people. */
     [[nodiscard]] std::string toString() const;
--- a/src/simulation/LinkFaults.cpp
+++ b/src/simulation/LinkFaults.cpp
@@ -36,7 +36,7 @@
 
 void LinkFaults::partition(const PlannedFault &fault, void (Links::*cut)(const std::string &, bool))
 {
-    const std::string domain = this->context.randomDomain();
+    const std::string domain = this->context.domainOf(fault);
     (this->context.surroundings.links.*cut)(domain, true);
     this->context.disturbInstances(domain, fault.duration);
     this->context.disturbUpstreams(domain, fault.duration);
@@ -47,7 +47,7 @@
 
 void LinkFaults::loseDomain(const PlannedFault &fault)
 {
-    const std::string domain = this->context.randomDomain();
+    const std::string domain = this->context.domainOf(fault);
     UpstreamFleet &fleet = this->context.targets.fleet;
     for (const auto &instance : this->context.targets.instances) {
         if (instance->member().domain != domain)
--- a/src/simulation/OperatorChanges.cpp
+++ b/src/simulation/OperatorChanges.cpp
@@ -27,7 +27,7 @@
         this->publishOften(fault);
         break;
     case FaultKind::Evacuation: {
-        const std::string domain = this->context.randomDomain();
+        const std::string domain = this->context.domainOf(fault);
         operators.evacuate(domain, true);
         this->context.undoAfter(fault.duration,
                                 [&operators, domain] { operators.evacuate(domain, false); });
--- a/tests/Experiment.cpp
+++ b/tests/Experiment.cpp
@@ -68,6 +68,7 @@
         {"faults", "kind", "earthquake", "faults[0].kind"},
         {"faults", "atMs", "soon", "faults[0].atMs"},
         {"faults", "share", 2, "faults[0].share"},
+        {"faults", "domain", "nowhere", "faults"},
     }));
     boost::json::object experiment = validExperiment();
     experiment[each.list].as_array()[0].as_object()[each.member] = each.value;
