Leave rotation while the own domain can serve nothing

Cause: the instances of an evacuated and partitioned domain stayed ready and kept its callers, although they reached no usable upstream; the routers use other domains only if no instance of the domain is ready. Change: an instance reports not ready when no own upstream may take new flows and two rounds of connections to instances of other domains have failed; it returns at the first connection, with an own upstream, or after 20 s. Rounds need a sign of a partition. Counters readiness_withdrawn and readiness_connect, gauge readiness_is_withdrawn, log event readiness.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -59,6 +59,8 @@
             this->sweeper},
            counters, log, [this] { this->onViewChange(); })
     , registration(scheduler, memberStore, random, this->options.self, log)
+    , domainUpstreams(this->directory, this->routes, this->options.self.domain)
+    , readiness(scheduler, this->options.self, counters, log, this->readinessHooks())
 {}
 
 SteeringHooks Balancer::steeringHooks()
@@ -110,15 +112,35 @@
 MemberSweeperHooks Balancer::sweeperHooks()
 {
     return {[this](Endpoint peer, MemberSweeperHooks::CheckHandler handler) {
-                this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
-                    handler(result == ProbeResult::Connected);
-                });
+                this->connect(peer, std::move(handler));
             },
             [this] {
                 return this->sourcedStore.isDirect();
             }};
 }
 
+DomainReadinessHooks Balancer::readinessHooks()
+{
+    return {[this](Endpoint peer, DomainReadinessHooks::ConnectHandler handler) {
+                this->connect(peer, std::move(handler));
+            },
+            [this] {
+                return ReadinessFacts{this->domainUpstreams.supply(),
+                                      this->domainUpstreams.lastAnswerElsewhere(),
+                                      this->sourcedStore.sourceLostAt()};
+            },
+            [this] {
+                return this->sources.otherInstances();
+            }};
+}
+
+void Balancer::connect(Endpoint peer, std::function<void(bool connected)> handler)
+{
+    this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
+        handler(result == ProbeResult::Connected);
+    });
+}
+
 void Balancer::startProbe(UpstreamIndex upstream)
 {
     this->counters.add("probe");
@@ -163,6 +185,7 @@
                             {"delay_ms", toMilliseconds(this->options.stopDelay)}});
     // The routers remove this instance after its next readiness checks; packets arrive until then.
     this->mirror.refuseAllPending();
+    this->readiness.stop();
     this->stopTimer
         = this->scheduler.after(this->options.stopDelay, [this] { this->hooks.onStopped(); });
 }
@@ -254,6 +277,7 @@
         this->becomeReady();
     if (!this->stopping && !this->view.hasMember(this->options.self))
         this->registration.ensure();
+    this->readiness.onChange();
 }
 
 void Balancer::becomeReady()
@@ -266,6 +290,8 @@
                              {"version", this->routes.version()},
                              {"source", this->sources.current().toString()},
                              {"age_ms", toMilliseconds(this->sourcedStore.age())}});
+    if (!this->stopping)
+        this->readiness.start();
 }
 
 void Balancer::onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence)
@@ -280,6 +306,11 @@
                                        {"evidence", evidence},
                                        {"last_answer_ms", toMilliseconds(silence)},
                                        {"flows", changed.openFlows}});
+    const bool suspect = changed.health.liveness() != Liveness::Alive;
+    if (suspect && changed.entry.domain != this->options.self.domain)
+        this->readiness.onSuspicion();
+    else
+        this->readiness.onChange();
 }
 
 void Balancer::logDirectoryChange(const DirectoryChange &change)
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -5,6 +5,8 @@
 #include "base/Scheduler.h"
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
+#include "readiness/DomainReadiness.h"
+#include "readiness/DomainUpstreams.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
 #include "view/MemberRegistration.h"
@@ -70,7 +72,13 @@
     void beginStop();
 
     /** \returns whether the fabric may send packets to this instance. */
-    [[nodiscard]] bool isReady() const { return this->ready && !this->stopping; }
+    [[nodiscard]] bool isReady() const
+    {
+        return this->ready && !this->stopping && !this->readiness.isWithdrawn();
+    }
+
+    /** \returns whether the instance has left rotation because its domain can serve nothing. */
+    [[nodiscard]] bool isWithdrawn() const { return this->readiness.isWithdrawn(); }
 
     /** \brief Decides on a packet of a caller and logs the decision.
      * \param datagram the whole packet, searched for a request id */
@@ -106,6 +114,8 @@
     [[nodiscard]] SourcedStoreHooks sourceHooks();
     [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
+    [[nodiscard]] DomainReadinessHooks readinessHooks();
+    void connect(Endpoint peer, std::function<void(bool connected)> handler);
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
     void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
@@ -134,6 +144,8 @@
     MemberSweeper sweeper;
     ViewFollower view;
     MemberRegistration registration;
+    DomainUpstreams domainUpstreams;
+    DomainReadiness readiness;
     Scheduler::Timer tickTimer;
     Scheduler::Timer startTimer;
     Scheduler::Timer stopTimer;
--- a/src/directory/RouteTable.h
+++ b/src/directory/RouteTable.h
@@ -8,6 +8,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <span>
 #include <string_view>
 
 namespace bulrushgap::balance {
@@ -35,6 +36,9 @@
     /** \returns the limits of a service; those of an unknown service are zero. */
     [[nodiscard]] const ServiceLimits &limits(std::string_view service) const;
 
+    /** \returns all routes; valid until the next update. */
+    [[nodiscard]] std::span<const Route> routes() const { return this->current->routes; }
+
     [[nodiscard]] bool isLoaded() const { return this->loaded; }
     [[nodiscard]] std::uint64_t version() const { return this->current->version; }
     [[nodiscard]] std::size_t size() const { return this->current->routes.size(); }
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -71,7 +71,10 @@
               this->balancer.scheduleTick();
           })
     , operationsServer(context, this->settings.readyAddress, internal::serverLimits())
-{}
+{
+    this->metrics.addGauge("readiness_is_withdrawn",
+                           [this] { return this->balancer.isWithdrawn() ? 1.0 : 0.0; });
+}
 
 balance::BalancerHooks BalancerRole::hooks()
 {
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -49,6 +50,12 @@
     /** \returns whether a source responds, or was lost less than the grace period ago. */
     [[nodiscard]] bool isConnected() const;
 
+    /** \returns since when no source responds, or nothing while one does. */
+    [[nodiscard]] std::optional<TimePoint> sourceLostAt() const
+    {
+        return this->verified ? std::nullopt : this->lostAt;
+    }
+
     /** \returns the time since the store confirmed this instance's view. */
     [[nodiscard]] Duration age() const;
 
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -80,6 +80,9 @@
      * selects for \a subject; instances with the same members agree. */
     [[nodiscard]] bool isSelected(std::string_view subject, unsigned count) const;
 
+    /** \returns all known instances but this one; valid until the next update. */
+    [[nodiscard]] std::span<const Member> otherInstances() const { return this->others; }
+
     [[nodiscard]] unsigned instancesInDomain() const
     {
         return static_cast<unsigned>(this->domainTree.size());
--- a/tests/SimulatedFaults.cpp
+++ b/tests/SimulatedFaults.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 using namespace bulrushgap;
 using namespace bulrushgap::simulation;
 using namespace bulrushgap::test;
@@ -17,3 +20,37 @@
     INFO(faultLines(faults));
     checkReport(simulate(settings, faults, number + 1), settings);
 }
+
+// Guards against an evacuated domain whose instances keep its callers while they reach no upstream:
+// served by the other domains' instances, callers lose only the time of the verdict and of the
+// routers' checks.
+TEST_CASE("Callers of an evacuated domain that is cut off are served elsewhere",
+          "[SimulatedFaults]")
+{
+    const auto seed = GENERATE(range(1U, 5U));
+    const RunSettings settings = sampleRunSettings(24s);
+    const std::string domain = settings.domains[seed % settings.domains.size()];
+    const std::vector<PlannedFault> faults{{FaultKind::Evacuation, 2s, 18s, 0.0, domain},
+                                           {FaultKind::DomainCut, 8s, 8s, 0.0, domain}};
+    INFO("seed " << seed << '\n' << faultLines(faults));
+    std::map<std::string, std::vector<std::string>> outcomes;
+    Run run(settings, faults, seed, {[&](const std::string &instance, const std::string &line) {
+                if (line.find("event=readiness ") != std::string::npos)
+                    outcomes[instance].push_back(line);
+            }});
+    const RunReport report = run.play();
+    checkReport(report, settings);
+    CHECK(outcomes.size() == settings.instancesPerDomain);
+    for (const auto &[instance, lines] : outcomes) {
+        INFO(instance);
+        CHECK(instance.starts_with(domain));
+        REQUIRE(lines.size() == 2);
+        CHECK(lines[0].find("outcome=withdrawn reason=own_upstreams_unusable")
+              != std::string::npos);
+        CHECK(lines[1].find("outcome=returned reason=peer_reached") != std::string::npos);
+    }
+    constexpr std::int64_t servedElsewhereFrom = 11;
+    constexpr std::int64_t cutEnd = 16;
+    const RequestCounts elsewhere = report.between(servedElsewhereFrom, cutEnd);
+    CHECK(elsewhere.servedShare() >= minServedShareAfterFault);
+}
