--- a/tests/OperationsPage.cpp
+++ b/tests/OperationsPage.cpp
@@ -33,7 +33,8 @@
 {
     const std::filesystem::path root(BULRUSHGAP_SOURCE_DIR);
     std::string sources;
-    for (const char *folder : {"src/balancer", "src/role", "src/service", "src/view"}) {
+    for (const char *folder :
+         {"src/balancer", "src/readiness", "src/role", "src/service", "src/view"}) {
         for (const auto &entry : std::filesystem::directory_iterator(root / folder)) {
             if (entry.path().extension() == ".cpp")
                 sources += contentOf(entry.path());
