--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -6,6 +6,8 @@
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
 #include "ejection/EjectionPolicy.h"
+#include "readiness/DomainReadiness.h"
+#include "readiness/DomainUpstreams.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
 #include "view/MemberRegistration.h"
@@ -71,7 +73,13 @@
     void beginStop();
 
     /** \returns whether the fabric may send packets to this instance. */
-    [[nodiscard]] bool isReady() const { return this->ready && !this->stopping; }
+    [[nodiscard]] bool isReady() const
+    {
+        return this->ready && !this->stopping && !this->readiness.isWithdrawn();
+    }
+
+    /** \returns whether the instance has left rotation because its domain can serve nothing. */
+    [[nodiscard]] bool isWithdrawn() const { return this->readiness.isWithdrawn(); }
 
     /** \brief Decides on a packet of a caller and logs the decision.
      * \param datagram the whole packet, searched for a request id */
@@ -112,6 +120,8 @@
     [[nodiscard]] SourcedStoreHooks sourceHooks();
     [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
+    [[nodiscard]] DomainReadinessHooks readinessHooks();
+    void connect(Endpoint peer, std::function<void(bool connected)> handler);
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
     void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
@@ -143,6 +153,8 @@
     MemberSweeper sweeper;
     ViewFollower view;
     MemberRegistration registration;
+    DomainUpstreams domainUpstreams;
+    DomainReadiness readiness;
     Scheduler::Timer tickTimer;
     Scheduler::Timer startTimer;
     Scheduler::Timer stopTimer;
