Lose only the entry of the store that can't be parsed

Cause: each answer of the store was parsed as a whole. One object that the JSON parser refuses (a lone surrogate, nesting beyond 32 levels, bytes that are not UTF-8) made the list or the batch of events unreadable for good. Parse options don't help: those of Boost 1.81 cover bytes that are not UTF-8 and the depth, but not lone surrogate escapes.

Change: parseTolerantly() parses an answer once; only if that fails it splits the answer by brackets and quotes and parses the parts alone. An object with unreadable parts is a MalformedObject with its name and revision where they can be read; removals and later revisions apply. Truncated answers and those that are not JSON stay unavailable. Malformed objects of all kinds are logged and counted once per revision. A malformed evacuation is in force, here and for the instances that read from this one, since its key names the domain. Events of objects without a readable name are not passed on. A page of a list without any readable name makes the list unavailable instead of complete.

--- a/cmake/Fuzz.cmake
+++ b/cmake/Fuzz.cmake
@@ -9,7 +9,7 @@
      src/view/ViewCodec.cpp src/view/ViewObject.cpp)
 list(APPEND FUZZED_SOURCES src/service/BalancerSettings.cpp src/service/Fault.cpp
      src/service/Field.cpp src/service/SettingsReader.cpp src/service/SettingsView.cpp
-     src/store/CallResult.cpp src/store/ObjectStore.cpp)
+     src/store/CallResult.cpp src/store/ObjectStore.cpp src/store/TolerantParse.cpp)
 add_library(bulrushgapFuzzed STATIC ${FUZZED_SOURCES})
 target_include_directories(bulrushgapFuzzed PUBLIC src ${CMAKE_CURRENT_SOURCE_DIR})
 target_compile_options(bulrushgapFuzzed
--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -24,7 +24,8 @@
     src/role/PeerViewServer.cpp
     src/role/ViewFrame.cpp
     src/store/CallResult.cpp
-    src/store/ObjectStore.cpp)
+    src/store/ObjectStore.cpp
+    src/store/TolerantParse.cpp)
 target_include_directories(bulrushgap PRIVATE src ${CMAKE_CURRENT_SOURCE_DIR})
 target_compile_definitions(bulrushgap PRIVATE BULRUSHGAP_VERSION="${PROJECT_VERSION}")
 target_compile_options(bulrushgap PRIVATE -Wall -Wextra -O2 -ffunction-sections -fdata-sections)
--- a/fuzz/FuzzObjects.cpp
+++ b/fuzz/FuzzObjects.cpp
@@ -1,13 +1,28 @@
 #include "platform/ObjectCodec.h"
-
-#include <boost/json/parse.hpp>
+#include "store/TolerantParse.h"
+#include "view/ViewCodec.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <cstdlib>
 #include <string_view>
 
 using namespace bulrushgap;
 
+namespace {
+
+/** \brief Ends the program unless other instances can read the objects. */
+void passOn(balance::ViewKind kind, const balance::ViewList &list,
+            const balance::ViewEvents &events)
+{
+    if (!balance::decodeList(kind, balance::encodeList(kind, list)))
+        std::abort();
+    if (!balance::decodeEvents(kind, balance::encodeEvents(kind, events)))
+        std::abort();
+}
+
+} // namespace
+
 /** \brief Answers of the store: the first byte selects the kind, the rest is the body. */
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size)
 {
@@ -15,12 +30,11 @@
         return 0;
     const auto kind = static_cast<balance::ViewKind>(data[0] % balance::viewKindCount);
     const std::string_view text(reinterpret_cast<const char *>(data) + 1, size - 1);
-    boost::system::error_code error;
-    const boost::json::value body = boost::json::parse(text, error);
-    if (error || !body.is_object())
+    const auto body = parseTolerantly(text);
+    if (!body)
         return 0;
     balance::ViewList list;
-    static_cast<void>(platform::decodeListPage(kind, *body.if_object(), list));
-    static_cast<void>(platform::decodeEvents(kind, *body.if_object(), 1));
+    static_cast<void>(platform::decodeListPage(kind, *body, list));
+    passOn(kind, list, platform::decodeEvents(kind, *body, 1));
     return 0;
 }
--- a/src/store.h
+++ b/src/store.h
@@ -7,3 +7,4 @@
 #include "store/ObjectStore.h"
 #include "store/ObjectWatch.h"
 #include "store/PlatformClient.h"
+#include "store/TolerantParse.h"
--- a/src/store/CallResult.cpp
+++ b/src/store/CallResult.cpp
@@ -1,5 +1,7 @@
 #include "store/CallResult.h"
 
+#include "store/TolerantParse.h"
+
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 
@@ -7,6 +9,15 @@
 
 namespace bulrushgap {
 
+namespace internal {
+
+bool hasBody(PlatformResult result)
+{
+    return result == PlatformResult::Ok || result == PlatformResult::Conflict;
+}
+
+} // namespace internal
+
 PlatformResult resultOf(const HttpOutcome &outcome, PlatformResult ambiguous, Status503 meaning)
 {
     constexpr unsigned firstServerError = 500;
@@ -38,7 +49,7 @@
 boost::json::object bodyOf(const HttpOutcome &outcome, PlatformResult ambiguous,
                            PlatformResult &result)
 {
-    if (result != PlatformResult::Ok && result != PlatformResult::Conflict)
+    if (!internal::hasBody(result))
         return {};
     boost::system::error_code error;
     boost::json::value body = boost::json::parse(outcome.body, error);
@@ -49,6 +60,18 @@
     return {};
 }
 
+boost::json::object objectsBodyOf(const HttpOutcome &outcome, PlatformResult &result)
+{
+    if (!internal::hasBody(result))
+        return {};
+    auto body = parseTolerantly(outcome.body);
+    if (body)
+        return *std::move(body);
+    if (result == PlatformResult::Ok)
+        result = PlatformResult::Unavailable;
+    return {};
+}
+
 std::uint64_t memberNumber(const boost::json::object &object, std::string_view name)
 {
     const auto *member = object.if_contains(name);
--- a/src/store/CallResult.h
+++ b/src/store/CallResult.h
@@ -25,6 +25,10 @@
 [[nodiscard]] boost::json::object bodyOf(const HttpOutcome &outcome, PlatformResult ambiguous,
                                          PlatformResult &result);
 
+/** \returns the JSON object of the answer to a list or watch, in which unreadable objects are
+ * marked with unreadableMember; sets an Ok \a result to Unavailable if there is none. */
+[[nodiscard]] boost::json::object objectsBodyOf(const HttpOutcome &outcome, PlatformResult &result);
+
 /** \returns the value of a non-negative integer member, otherwise 0. */
 [[nodiscard]] std::uint64_t memberNumber(const boost::json::object &object, std::string_view name);
 
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -1,6 +1,7 @@
 #include "store/PlatformClient.h"
 
 #include "store/CallResult.h"
+#include "store/TolerantParse.h"
 
 #include <boost/json/serialize.hpp>
 #include <boost/url/encode.hpp>
@@ -21,6 +22,9 @@
 std::optional<boost::json::value> memberValue(const boost::json::object &object,
                                               std::string_view name)
 {
+    // Unlike null, a text does not pass for a deleted object; no kind of object accepts it.
+    if (object.contains(unreadableMember))
+        return boost::json::value("unreadable");
     const auto *member = object.if_contains(name);
     return member == nullptr || member->is_null() ? std::nullopt
                                                   : std::optional<boost::json::value>(*member);
@@ -41,7 +45,7 @@
 {
     ListOutcome list;
     list.result = resultOf(outcome, PlatformResult::Unavailable);
-    const auto body = bodyOf(outcome, PlatformResult::Unavailable, list.result);
+    const auto body = objectsBodyOf(outcome, list.result);
     list.revision = memberNumber(body, "revision");
     const auto *objects = memberList(body, "objects");
     if (objects == nullptr)
@@ -57,7 +61,7 @@
 {
     WatchOutcome watch;
     watch.result = resultOf(outcome, PlatformResult::Unavailable);
-    const auto body = bodyOf(outcome, PlatformResult::Unavailable, watch.result);
+    const auto body = objectsBodyOf(outcome, watch.result);
     watch.revision = memberNumber(body, "revision");
     const auto *events = memberList(body, "events");
     if (events == nullptr)
--- a/src/view.h
+++ b/src/view.h
@@ -5,6 +5,7 @@
  */
 #include "store/ObjectWatch.h"
 #include "view/HedgedList.h"
+#include "view/MalformedObjects.h"
 #include "view/Member.h"
 #include "view/MemberRegistration.h"
 #include "view/MemberSweeper.h"
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -158,9 +158,11 @@
     return bytesOf(builder);
 }
 
-bool isUsable(const ViewObject &value)
+/** \returns whether other instances can use the object. The key of an evacuation names its domain,
+ * so it is in force even if its value is malformed. */
+bool isUsable(ViewKind kind, const ViewObject &value)
 {
-    return !std::holds_alternative<MalformedObject>(value);
+    return kind == ViewKind::Evacuations || !std::holds_alternative<MalformedObject>(value);
 }
 
 /** \brief Verifies a message and gives access to its root table.
@@ -407,7 +409,7 @@
     flatbuffers::FlatBufferBuilder builder(internal::initialBufferBytes);
     internal::ObjectsWriter objects(builder);
     for (const ViewItem &item : list.objects) {
-        if (internal::isUsable(item.value))
+        if (!item.key.empty() && internal::isUsable(kind, item.value))
             objects.add(kind, item.key, item.version, &item.value);
     }
     return internal::finishReply(builder, list.result, list.revision, objects);
@@ -418,7 +420,9 @@
     flatbuffers::FlatBufferBuilder builder(internal::initialBufferBytes);
     internal::ObjectsWriter objects(builder);
     for (const ViewEvent &event : events.events) {
-        const bool present = event.value && internal::isUsable(*event.value);
+        if (event.key.empty())
+            continue;
+        const bool present = event.value && internal::isUsable(kind, *event.value);
         objects.add(kind, event.key, event.version, present ? &*event.value : nullptr);
     }
     return internal::finishReply(builder, events.result, events.revision, objects);
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -71,6 +71,7 @@
     , counters(counters)
     , log(log)
     , onChange(std::move(onChange))
+    , malformedObjects(counters, log)
     , upstreamWatch(
           scheduler, store, random, ViewKind::Upstreams,
           [this](const ViewUpdate &update) { this->onUpstreams(update); },
@@ -105,7 +106,7 @@
 
 void ViewFollower::onUpstreams(const ViewUpdate &update)
 {
-    this->logMalformed(ViewKind::Upstreams, update);
+    this->malformedObjects.report(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
     if (update.complete) {
@@ -126,7 +127,7 @@
 
 void ViewFollower::onConfiguration(const ViewUpdate &update)
 {
-    this->logMalformed(ViewKind::Configurations, update);
+    this->malformedObjects.report(ViewKind::Configurations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Configurations);
     for (const ViewEvent &event : update.events) {
         const auto *next = internal::valueOf<ConfigurationPtr>(event);
@@ -148,11 +149,16 @@
 
 void ViewFollower::onEvacuations(const ViewUpdate &update)
 {
+    this->malformedObjects.report(ViewKind::Evacuations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
     std::map<std::string, std::uint64_t> next;
     if (!update.complete)
         next = this->evacuated;
     for (const ViewEvent &event : update.events) {
+        if (event.key.empty())
+            continue;
+        // A malformed evacuation is in force: its key names the domain, and to place new flows in
+        // an evacuated domain is worse than to place none in another.
         if (event.value)
             next[event.key] = event.version;
         else
@@ -174,7 +180,7 @@
 
 void ViewFollower::onMembers(const ViewUpdate &update)
 {
-    this->logMalformed(ViewKind::Members, update);
+    this->malformedObjects.report(ViewKind::Members, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Members);
     if (update.complete)
         this->members.clear();
@@ -277,20 +283,6 @@
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
-void ViewFollower::logMalformed(ViewKind kind, const ViewUpdate &update)
-{
-    for (const ViewEvent &event : update.events) {
-        const auto *malformed = internal::valueOf<MalformedObject>(event);
-        if (malformed == nullptr)
-            continue;
-        this->counters.add("object_malformed");
-        this->log.warn("object_malformed", {{"kind", toString(kind)},
-                                            {"name", event.key},
-                                            {"member", malformed->member},
-                                            {"expected", malformed->expected}});
-    }
-}
-
 void ViewFollower::onReachable(ViewKind kind, bool reachable)
 {
     if (reachable) {
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -4,6 +4,7 @@
 #include "base/Scheduler.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
+#include "view/MalformedObjects.h"
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
 #include "view/SourcedStore.h"
@@ -63,7 +64,6 @@
     /** \brief Passes an update on to the instances that read from this one. */
     void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update);
     void onReachable(ViewKind kind, bool reachable);
-    void logMalformed(ViewKind kind, const ViewUpdate &update);
     void applyEvacuation(const std::string &domain, bool isEvacuated);
 
     const Scheduler &scheduler;
@@ -72,6 +72,7 @@
     Counters &counters;
     Log &log;
     ChangeHandler onChange;
+    MalformedObjects malformedObjects;
     ViewWatch upstreamWatch;
     ViewWatch configurationWatch;
     ViewWatch evacuationWatch;
--- a/src/view/ViewObject.h
+++ b/src/view/ViewObject.h
@@ -31,11 +31,12 @@
     friend bool operator==(const Evacuation &, const Evacuation &) = default;
 };
 
-/** \brief An object that could not be decoded, and why; others write to the store as well. */
+/** \brief An object that could not be decoded, and why; others write to the store as well. Its key
+ * is empty if its name is unreadable. */
 struct MalformedObject
 {
-    std::string member; //!< JSON member that is missing or has the wrong type.
-    std::string expected;
+    std::string member;   //!< JSON member that is missing, has the wrong type or can't be parsed.
+    std::string expected; //!< For a member that can't be parsed, with the reason of the parser.
 
     friend bool operator==(const MalformedObject &, const MalformedObject &) = default;
 };
--- a/tests/ObjectCodec.cpp
+++ b/tests/ObjectCodec.cpp
@@ -1,5 +1,7 @@
 #include "platform/ObjectCodec.h"
 
+#include "store/TolerantParse.h"
+
 #include <boost/json/parse.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <catch2/catch.hpp>
@@ -194,3 +196,92 @@
     CHECK(decodeEvents(balance::ViewKind::Upstreams, body.as_object(), since).result
           == each.events);
 }
+
+namespace {
+
+/** \brief Name and revision that can be read of a malformed object. */
+struct Expected
+{
+    std::string key;
+    std::uint64_t version;
+};
+
+bool isMalformed(const balance::ViewObject &object)
+{
+    return std::holds_alternative<balance::MalformedObject>(object);
+}
+
+} // namespace
+
+// Guards against an entry that can't be identified and takes the others with it.
+TEST_CASE("unreadable parts of an entry leave its name and revision", "[ObjectCodec]")
+{
+    const std::string nested = std::string(40, '[') + std::string(40, ']');
+    struct Case
+    {
+        std::string object;
+        Expected expected;
+    };
+    const auto each = GENERATE_COPY(values<Case>({
+        {R"({"meta":{"name":"b","revision":5},"spec":{"x":"\udcff"}})", {"b", 5}},
+        {R"({"meta":{"name":"b","revision":5},"spec":)" + nested + "}", {"b", 5}},
+        {R"({"meta":{"name":"b","revision":5},"spec":{},"status":"\udcff"})", {"b", 5}},
+        {R"({"meta":{"name":"b","revision":5,"x":"\udcff"},"spec":{}})", {"b", 5}},
+        {R"({"meta":{"name":"b","revision":1e99999999999},"spec":{}})", {"b", 0}},
+        {R"({"meta":{"name":"\udcff","revision":5},"spec":{}})", {"", 5}},
+        {R"({"meta":"\udcff","spec":{}})", {"", 0}},
+        {R"({"meta" 5})", {"", 0}},
+        {R"({"meta":{"name":"","revision":5},"spec":{}})", {"", 5}},
+    }));
+    CAPTURE(each.object);
+    const auto kind = balance::ViewKind::Evacuations;
+    const std::string other = R"({"meta":{"name":"a","revision":4},"spec":{}})";
+    const auto page = parseTolerantly(R"({"items":[)" + other + "," + each.object
+                                      + R"(],"has_more":false,"as_of":7})");
+    REQUIRE(page);
+    balance::ViewList list;
+    list.result = PlatformResult::Ok;
+    CHECK_FALSE(decodeListPage(kind, *page, list));
+    CHECK(list.result == PlatformResult::Ok);
+    REQUIRE(list.objects.size() == 2);
+    CHECK_FALSE(isMalformed(list.objects[0].value));
+    CHECK(list.objects[1].key == each.expected.key);
+    CHECK(list.objects[1].version == each.expected.version);
+    CHECK(isMalformed(list.objects[1].value));
+
+    const bool removed = GENERATE(false, true);
+    const auto body = parseTolerantly(R"({"events":[{"removed":false,"object":)" + other
+                                      + R"(},{"removed":)" + (removed ? "true" : "false")
+                                      + R"(,"object":)" + each.object + R"(}],"as_of":7})");
+    REQUIRE(body);
+    const auto events = decodeEvents(kind, *body, 1);
+    CHECK(events.result == PlatformResult::Ok);
+    REQUIRE(events.events.size() == 2);
+    CHECK(events.events[1].key == each.expected.key);
+    CHECK(events.events[1].version == each.expected.version);
+    // An object without a name can't be removed, but it is reported.
+    CHECK(events.events[1].value.has_value() == (!removed || each.expected.key.empty()));
+}
+
+// Guards against a list that ends early because the last name of its page is unreadable.
+TEST_CASE("the next page starts after the last readable name", "[ObjectCodec]")
+{
+    struct Case
+    {
+        std::string first;
+        PlatformResult result;
+        std::optional<std::string> next;
+    };
+    const auto each = GENERATE(values<Case>({
+        {R"("a")", PlatformResult::Ok, "a"},
+        {R"("\udcff")", PlatformResult::Unavailable, std::nullopt},
+    }));
+    const auto page = parseTolerantly(R"({"items":[{"meta":{"name":)" + each.first
+                                      + R"(,"revision":4}},{"meta":{"name":"\udcff"}}],)"
+                                      + R"("has_more":true,"as_of":7})");
+    REQUIRE(page);
+    balance::ViewList list;
+    list.result = PlatformResult::Ok;
+    CHECK(decodeListPage(balance::ViewKind::Upstreams, *page, list) == each.next);
+    CHECK(list.result == each.result);
+}
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -182,6 +182,41 @@
     REQUIRE(calls == 3);
 }
 
+// Guards against an object of another writer that hides all others, or that passes for deleted.
+TEST_CASE("an object that can't be parsed costs only that object", "[PlatformClient]")
+{
+    const std::string value = GENERATE(as<std::string>(), R"("\udcff\udcfe\udc80")",
+                                       std::string(40, '[') + std::string(40, ']'));
+    const std::string objects
+        = R"([{"key":"a","version":3,"value":1},{"key":"b","version":4,"value":)" + value
+          + R"(},{"key":"c","version":5,"value":3}])";
+    boost::asio::io_context context;
+    Counters counters;
+    HttpServer server(context, Endpoint{0x7f000001, 0});
+    server.route("GET", "/objects", [&](const HttpRequestView &) {
+        return HttpReply{
+            200, R"({"revision":5,"objects":)" + objects + "}", "application/json", {}};
+    });
+    server.route("GET", "/watch", [&](const HttpRequestView &) {
+        return HttpReply{200, R"({"revision":5,"events":)" + objects + "}", "application/json", {}};
+    });
+    PlatformClient client(context, startServer(server), counters);
+    const auto list
+        = await<ListOutcome>(context, [&](auto handler) { client.list("", std::move(handler)); });
+    CHECK(list.result == PlatformResult::Ok);
+    REQUIRE(list.objects.size() == 3);
+    CHECK(list.objects[1].key == "b");
+    CHECK(list.objects[1].version == 4);
+    CHECK(list.objects[2].value == 3);
+    const auto watch = await<WatchOutcome>(
+        context, [&](auto handler) { client.watch("", 1, std::move(handler)); });
+    CHECK(watch.result == PlatformResult::Ok);
+    REQUIRE(watch.events.size() == 3);
+    CHECK(watch.events[1].version == 4);
+    CHECK(watch.events[1].value.has_value());
+    CHECK(watch.events[2].value == boost::json::value(3));
+}
+
 namespace {
 
 /** \brief A store whose watches are answered by the test. */
--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -2,6 +2,7 @@
 
 #include "Loopback.h"
 #include "platform/ObjectCodec.h"
+#include "service/HttpServer.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -115,3 +116,152 @@
         CHECK(result.objects[0].key == "of-" + std::string(platform::kindName(kind)));
     }
 }
+
+namespace {
+
+const std::string goodUpstream = R"({"service":"s1","addr":"10.1.0.9:8080","zone":"yala",)"
+                                 R"("slots":2,"state":"ready"})";
+const std::string goodMember = R"({"domain":"yala","peer":"10.0.0.1:7720","capacity":200})";
+
+/** \brief A store that answers each call with the same body. */
+struct ScriptedStore
+{
+    explicit ScriptedStore(std::string body)
+        : body(std::move(body))
+    {
+        this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &) {
+            return HttpReply{200, this->body, "application/json", {}};
+        });
+    }
+
+    ViewList list(ViewKind kind)
+    {
+        return await<ViewList>(this->context, [&](balance::ObjectSource::ListHandler handler) {
+            this->client.list(kind, std::move(handler));
+        });
+    }
+
+    balance::ViewEvents watch(ViewKind kind)
+    {
+        return await<balance::ViewEvents>(this->context, [&](auto handler) {
+            this->client.watchFor(kind, 1, std::chrono::milliseconds(10), std::move(handler));
+        });
+    }
+
+    std::string body;
+    asio::io_context context;
+    HttpServer server{context, Endpoint{0x7f000001, 0}};
+    Endpoint endpoint{startServer(server)};
+    Counters counters;
+    platform::StoreClient client{context, endpoint, counters};
+};
+
+/** \returns a value of a spec that the kind accepts. */
+std::string goodSpecOf(ViewKind kind)
+{
+    switch (kind) {
+    case ViewKind::Upstreams:
+        return goodUpstream;
+    case ViewKind::Members:
+        return goodMember;
+    case ViewKind::Configurations:
+        return R"({"version":7,"routes":[],"services":[]})";
+    case ViewKind::Evacuations:
+        break;
+    }
+    return R"({"by":"operator"})";
+}
+
+/** \returns three objects, of which that at \a position has \a value as its member "x". */
+std::vector<std::string> objectsWith(ViewKind kind, std::size_t position, const std::string &value)
+{
+    const std::string good = goodSpecOf(kind);
+    std::vector<std::string> objects;
+    for (std::size_t i = 0; i < 3; ++i) {
+        const bool isMain = kind == ViewKind::Configurations && i == position;
+        const std::string name = isMain ? "main" : "i-" + std::to_string(i + 1);
+        const std::string spec
+            = i == position ? good.substr(0, good.size() - 1) + R"(,"x":)" + value + "}" : good;
+        objects.push_back(R"({"meta":{"name":")" + name + R"(","revision":)" + std::to_string(i + 3)
+                          + R"(},"spec":)" + spec + R"(,"status":null})");
+    }
+    return objects;
+}
+
+/** \brief Checks the objects of an answer, of which that at \a position is malformed. */
+template <typename Objects>
+void checkObjects(ViewKind kind, std::size_t position, const Objects &objects)
+{
+    // Configurations under other names than that of the operators are not part of the view.
+    const bool isSingle = kind == ViewKind::Configurations;
+    REQUIRE(objects.size() == (isSingle ? 1 : 3));
+    for (std::size_t i = 0; i < objects.size(); ++i) {
+        const std::optional<balance::ViewObject> value = objects[i].value;
+        REQUIRE(value);
+        const bool isFaulty = isSingle || i == position;
+        CHECK(std::holds_alternative<balance::MalformedObject>(*value) == isFaulty);
+        CHECK(objects[i].version == (isSingle ? position : i) + 3);
+        CHECK(objects[i].key == (isSingle ? "main" : "i-" + std::to_string(i + 1)));
+    }
+}
+
+const auto anyMalformedValue = [] {
+    return GENERATE(values<std::string>({
+        R"("\udcff\udcfe\udc80")",
+        std::string(40, '[') + std::string(40, ']'),
+        "\"\xff\xfe\"",
+        "\"\x01\"",
+        R"("\q")",
+        "1e99999999999",
+        "nonsense",
+    }));
+};
+
+const auto anyKind = [] {
+    return GENERATE(ViewKind::Upstreams, ViewKind::Configurations, ViewKind::Evacuations,
+                    ViewKind::Members);
+};
+
+} // namespace
+
+// Guards against an entry of another writer that hides all other entries of its kind.
+TEST_CASE("an entry that can't be parsed costs only that entry", "[StoreClient]")
+{
+    const ViewKind kind = anyKind();
+    const auto position = GENERATE(std::size_t{0}, std::size_t{1}, std::size_t{2});
+    const auto objects = objectsWith(kind, position, anyMalformedValue());
+    CAPTURE(balance::toString(kind), position, objects[position]);
+    std::string items;
+    std::string events;
+    for (const std::string &object : objects) {
+        const std::string comma = items.empty() ? "" : ",";
+        items += comma + object;
+        events += comma + R"({"removed":false,"object":)" + object + "}";
+    }
+    ScriptedStore lists(R"({"items":[)" + items + R"(],"has_more":false,"as_of":9})");
+    const ViewList list = lists.list(kind);
+    CHECK(list.result == PlatformResult::Ok);
+    CHECK(list.revision == 9);
+    checkObjects(kind, position, list.objects);
+
+    ScriptedStore watches(R"({"events":[)" + events + R"(],"as_of":9})");
+    const balance::ViewEvents changes = watches.watch(kind);
+    CHECK(changes.result == PlatformResult::Ok);
+    CHECK(changes.revision == 9);
+    checkObjects(kind, position, changes.events);
+}
+
+// Guards against an answer that is cut off and passes for one with fewer entries.
+TEST_CASE("an answer that is truncated or not JSON is unavailable", "[StoreClient]")
+{
+    const auto body = GENERATE(values<std::string>({
+        "",
+        "no JSON",
+        R"({"items":[{"meta":{"name":"i-1","revision":3},"spec":{"x":"\udcff"}}],"as_of":9)",
+        R"({"items":[{"meta":{"name":"i-1","revision":3},"spec":{"x":"\udcff"}})",
+        R"({"events":[{"object":{"meta":{"name":"i-1","revision":3},"spec":{"x":"\udcff"}}}])",
+    }));
+    ScriptedStore store(body);
+    CHECK(store.list(ViewKind::Upstreams).result == PlatformResult::Unavailable);
+    CHECK(store.watch(ViewKind::Upstreams).result == PlatformResult::Unavailable);
+}
--- a/tests/ViewCodec.cpp
+++ b/tests/ViewCodec.cpp
@@ -119,6 +119,31 @@
     CHECK_FALSE(events->events[0].value);
 }
 
+// Guards against a malformed object of any kind that breaks the message with the others, and
+// against a malformed evacuation that ends for other instances: its key names the domain.
+TEST_CASE("a malformed object does not affect the others of its message", "[ViewCodec]")
+{
+    const ViewKind kind = anyKind();
+    const auto position = GENERATE(0U, 1U, 2U);
+    const std::string name = GENERATE("b", "");
+    const bool inForce = kind == ViewKind::Evacuations && !name.empty();
+    ViewList list{PlatformResult::Ok, 9, {{"a", 7, sampleOf(kind)}, {"c", 8, sampleOf(kind)}}};
+    list.objects.insert(list.objects.begin() + position,
+                        {name, 9, MalformedObject{"spec", "readable JSON"}});
+    const auto decodedList = decodeList(kind, encodeList(kind, list));
+    REQUIRE(decodedList);
+    CHECK(decodedList->objects.size() == (inForce ? 3 : 2));
+
+    ViewEvents events{PlatformResult::Ok, 9, {}};
+    for (const ViewItem &item : list.objects)
+        events.events.push_back({item.key, item.version, item.value});
+    const auto decoded = decodeEvents(kind, encodeEvents(kind, events));
+    REQUIRE(decoded);
+    REQUIRE(decoded->events.size() == (name.empty() ? 2 : 3));
+    for (const ViewEvent &event : decoded->events)
+        CHECK(event.value.has_value() == (event.key != name || inForce));
+}
+
 // Guards against requests and results that change in encoding and decoding.
 TEST_CASE("requests and error results are equal after encoding and decoding", "[ViewCodec]")
 {
