End pending calls of the store when its address changes

Cause: StoreClient::setAddress replaced its HttpClients, whose destructor drops pending calls without calling their handlers. Watches then waited for ever and the view was passed on as confirmed.

Change: HttpClient::setServer replaces the server of a client; calls sent before, also those in the queue or not yet submitted, fail with their handlers called asynchronously. SourcedStore takes the first failed watch for a failed source, fails the others and starts again at the new address. The other clients have no such fault: PeerViewClient::dropWatches is called only by SourcedStore, which calls the handlers of the watches itself, and fails pending lists; PeerViewClient::close, PlatformClient and ObjectWatch drop handlers only when they are destroyed along with their owners.

--- a/src/service/HttpClient.cpp
+++ b/src/service/HttpClient.cpp
@@ -10,7 +10,9 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <deque>
+#include <utility>
 #include <vector>
 
 namespace bulrushgap {
@@ -51,6 +53,8 @@
     Clock::time_point deadline;
     asio::steady_timer timer; //!< Timeout while the call is in the queue.
     HttpConnectionPtr connection;
+    bool sending = false;           //!< The server may have received a part of the request.
+    std::uint64_t serverNumber = 0; //!< See HttpClientState; of the server that the call is for.
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
 };
@@ -74,15 +78,23 @@
     void fail(const PendingCallPtr &pending, error_code error, HttpFailure failure);
     void complete(const PendingCallPtr &pending);
     void finish(const PendingCallPtr &pending, HttpOutcome outcome);
+    void setServer(Endpoint next);
+    void failLater(const PendingCallPtr &pending);
     [[nodiscard]] HttpConnectionPtr takeIdleConnection();
 
-    /** \returns a completion handler that calls \a function unless the client has been destroyed.
-     */
+    [[nodiscard]] bool isForServer(const PendingCall &pending) const
+    {
+        return pending.serverNumber == this->serverNumber;
+    }
+
+    /** \returns a completion handler that calls \a function unless the client has been destroyed or
+     * the call has ended because the server was replaced. */
     template <typename Function>
-    auto unlessClosed(Function function)
+    auto whilePending(const PendingCallPtr &pending, Function function)
     {
-        return [self = this->shared_from_this(), function](error_code error, auto... ignored) {
-            if (!self->closed)
+        return [self = this->shared_from_this(), pending, function](error_code error,
+                                                                    auto... ignored) {
+            if (!self->closed && self->isForServer(*pending))
                 function(error, ignored...);
         };
     }
@@ -94,6 +106,7 @@
     std::vector<HttpConnectionPtr> idleConnections;
     std::deque<PendingCallPtr> queue;
     std::vector<PendingCallPtr> active;
+    std::uint64_t serverNumber = 0; //!< Incremented when the server is replaced.
     bool closed = false;
 };
 
@@ -138,6 +151,10 @@
 
 void HttpClientState::submit(const PendingCallPtr &pending)
 {
+    if (!this->isForServer(*pending)) {
+        pending->handler(HttpOutcome{HttpFailure::NotSent, 0, {}, {}});
+        return;
+    }
     if (this->active.size() < this->limits.connections) {
         this->start(pending);
         return;
@@ -148,7 +165,7 @@
     }
     this->queue.push_back(pending);
     pending->timer.expires_at(pending->deadline);
-    pending->timer.async_wait(this->unlessClosed([this, pending](error_code error) {
+    pending->timer.async_wait(this->whilePending(pending, [this, pending](error_code error) {
         if (!error && std::erase(this->queue, pending) > 0)
             pending->handler(HttpOutcome{HttpFailure::NotSent, 0, {}, {}});
     }));
@@ -181,19 +198,21 @@
     pending->connection = std::make_shared<HttpConnection>(this->context);
     auto &stream = pending->connection->stream;
     stream.expires_at(std::min(pending->deadline, Clock::now() + pending->call.connectTimeout));
-    stream.async_connect(this->server, this->unlessClosed([this, pending](error_code error) {
-        if (error) {
-            this->fail(pending, error, HttpFailure::NotSent);
-            return;
-        }
-        setConnectionOptions(pending->connection->stream.socket());
-        this->write(pending);
-    }));
+    stream.async_connect(this->server,
+                         this->whilePending(pending, [this, pending](error_code error) {
+                             if (error) {
+                                 this->fail(pending, error, HttpFailure::NotSent);
+                                 return;
+                             }
+                             setConnectionOptions(pending->connection->stream.socket());
+                             this->write(pending);
+                         }));
 }
 
 void HttpClientState::write(const PendingCallPtr &pending)
 {
     auto &connection = *pending->connection;
+    pending->sending = true;
     const auto now = Clock::now();
     const bool reserveRetryTime = connection.reused && pending->call.idempotent;
     connection.stream.expires_at(reserveRetryTime ? now + (pending->deadline - now) / 2
@@ -204,7 +223,7 @@
         else
             this->read(pending);
     };
-    http::async_write(connection.stream, pending->request, this->unlessClosed(written));
+    http::async_write(connection.stream, pending->request, this->whilePending(pending, written));
 }
 
 void HttpClientState::read(const PendingCallPtr &pending)
@@ -219,7 +238,7 @@
             this->complete(pending);
     };
     http::async_read(connection.stream, connection.buffer, *pending->parser,
-                     this->unlessClosed(received));
+                     this->whilePending(pending, received));
 }
 
 void HttpClientState::fail(const PendingCallPtr &pending, error_code error, HttpFailure failure)
@@ -260,6 +279,34 @@
     pending->handler(std::move(outcome));
 }
 
+void HttpClientState::setServer(Endpoint next)
+{
+    this->server = {asio::ip::address_v4(next.address), next.port};
+    this->host = next.toString();
+    ++this->serverNumber;
+    this->idleConnections.clear();
+    for (const PendingCallPtr &pending : std::exchange(this->queue, {})) {
+        pending->timer.cancel();
+        this->failLater(pending);
+    }
+    for (const PendingCallPtr &pending : std::exchange(this->active, {})) {
+        pending->connection->stream.close();
+        this->failLater(pending);
+    }
+}
+
+/** \brief Ends a call of the server before; its handler may send calls or destroy the client. */
+void HttpClientState::failLater(const PendingCallPtr &pending)
+{
+    asio::post(this->context, [self = this->shared_from_this(), pending] {
+        if (self->closed)
+            return;
+        const HttpFailure failure
+            = pending->sending ? HttpFailure::NoResponse : HttpFailure::NotSent;
+        pending->handler(HttpOutcome{failure, 0, {}, {}});
+    });
+}
+
 } // namespace internal
 
 HttpClient::HttpClient(boost::asio::io_context &context, Endpoint server, HttpClientLimits limits)
@@ -276,11 +323,17 @@
     this->state->active.clear();
 }
 
+void HttpClient::setServer(Endpoint server)
+{
+    this->state->setServer(server);
+}
+
 void HttpClient::send(HttpCall call, Handler handler)
 {
     auto &context = this->state->context;
     auto pending
         = std::make_shared<internal::PendingCall>(context, std::move(call), std::move(handler));
+    pending->serverNumber = this->state->serverNumber;
     boost::asio::post(context, [state = this->state, pending] {
         if (!state->closed)
             state->submit(pending);
--- a/src/service/HttpClient.h
+++ b/src/service/HttpClient.h
@@ -74,6 +74,10 @@
     /** \brief Sends \a call; \a handler is never called from within this function. */
     void send(HttpCall call, Handler handler);
 
+    /** \brief Replaces the server for later calls; calls sent before fail, with their handlers
+     * called asynchronously. */
+    void setServer(Endpoint server);
+
 private:
     std::shared_ptr<internal::HttpClientState> state;
 };
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -5,11 +5,13 @@
 #include "role/PeerViewClient.h"
 #include "role/PeerViewServer.h"
 #include "service/AsioScheduler.h"
+#include "service/HttpServer.h"
 #include "view/ObjectMirror.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -323,3 +325,61 @@
           == PlatformResult::Unavailable);
     CHECK(watch(context, follower.sourced, ViewKind::Upstreams, 5).result == PlatformResult::Ok);
 }
+
+// Guards against a view that no watch updates any more but that is passed on as confirmed, after
+// the settings have named another address of the store.
+TEST_CASE("watches start again at a new address of the store", "[SourcedStore]")
+{
+    constexpr std::size_t kinds = viewKindCount;
+    boost::asio::io_context context;
+    std::vector<HttpResponder> before;
+    HttpServer first(context, anyPort);
+    first.routeAsync("GET", "/-/objects/*", [&](const auto &, const HttpResponder &respond) {
+        before.push_back(respond);
+    });
+    int after = 0;
+    HttpServer second(context, anyPort);
+    second.route("GET", "/-/objects/*", [&](const HttpRequestView &) {
+        ++after;
+        return HttpReply{200, R"({"events":[],"as_of":9})", "application/json", {}};
+    });
+    Counters counters;
+    Log log{LogOptions{20, {}, [](LogLevel, const std::string &) {
+                       }}};
+    const Scheduler scheduler = asioScheduler(context);
+    platform::StoreClient store(context, startServer(first), counters);
+    ViewSources sources(Member{"a-1", "a", Endpoint{1, 1}, 1});
+    sources.onViewComplete();
+    int lost = 0;
+    SourcedStore sourced(scheduler, store, sources, counters, log,
+                         {[](const ViewSource &) { return nullptr; }, [&] { ++lost; },
+                          [](Duration) {
+                          }});
+    const auto answered = [&](ViewKind kind) {
+        return watch(context, sourced, kind, 7).result;
+    };
+    // The first watch probes the source alone.
+    std::vector<PlatformResult> results;
+    const auto record = [&](const ViewEvents &events) {
+        results.push_back(events.result);
+    };
+    sourced.watch(ViewKind::Upstreams, 7, record);
+    REQUIRE(runUntil(context, [&] { return before.size() == 1; }));
+    before.front()(HttpReply{200, R"({"events":[],"as_of":7})", "application/json", {}});
+    REQUIRE(runUntil(context, [&] { return results.size() == 1; }));
+    CHECK(sourced.isDirect());
+    for (const ViewKind kind : allKinds)
+        sourced.watch(kind, 7, record);
+    REQUIRE(runUntil(context, [&] { return before.size() == 1 + kinds; }));
+
+    store.setAddress(startServer(second));
+    REQUIRE(runUntil(context, [&] { return results.size() == 1 + kinds; }));
+    CHECK(std::ranges::count(results, PlatformResult::Unavailable) == kinds);
+    CHECK_FALSE(sourced.isDirect());
+    CHECK(lost == 1);
+    CHECK(counters.value("source_failed") == 1);
+    for (const ViewKind kind : allKinds)
+        CHECK(answered(kind) == PlatformResult::Ok);
+    CHECK(after == kinds);
+    CHECK(sourced.isDirect());
+}
--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <list>
 #include <memory>
@@ -265,3 +266,124 @@
     CHECK(store.list(ViewKind::Upstreams).result == PlatformResult::Unavailable);
     CHECK(store.watch(ViewKind::Upstreams).result == PlatformResult::Unavailable);
 }
+
+namespace {
+
+/** \brief A store that never answers, and counts the calls. */
+struct SilentStore
+{
+    explicit SilentStore(asio::io_context &context)
+        : server(context, Endpoint{0x7f000001, 0})
+    {
+        const auto hold = [this](const HttpRequestView &, const HttpResponder &respond) {
+            this->held.push_back(respond);
+        };
+        this->server.routeAsync("GET", "/-/objects/*", hold);
+        this->server.routeAsync("POST", "/-/objects/*", hold);
+    }
+
+    std::vector<HttpResponder> held;
+    HttpServer server;
+    Endpoint endpoint{startServer(server)};
+};
+
+/** \brief A client whose calls are pending at a silent store, and another store. */
+struct AddressChange
+{
+    explicit AddressChange(std::chrono::milliseconds timeout = std::chrono::seconds(60))
+        : client(std::make_unique<platform::StoreClient>(
+            this->context, this->before.endpoint, this->counters,
+            platform::StoreTimeouts{timeout, timeout, timeout}))
+    {}
+
+    balance::ObjectSource::ListHandler onList()
+    {
+        return [this](const ViewList &list) {
+            this->results.push_back(list.result);
+        };
+    }
+
+    void startCalls(ViewKind kind)
+    {
+        this->client->list(kind, this->onList());
+        this->client->watchFor(
+            kind, 1, std::chrono::seconds(60),
+            [this](const balance::ViewEvents &events) { this->results.push_back(events.result); });
+        this->client->createMember(
+            {}, [this](PlatformResult result) { this->results.push_back(result); });
+    }
+
+    asio::io_context context;
+    Counters counters;
+    SilentStore before{this->context};
+    SilentStore after{this->context};
+    std::vector<PlatformResult> results;
+    std::unique_ptr<platform::StoreClient> client;
+};
+
+} // namespace
+
+// Guards against a watch that waits for ever because its call was dropped.
+TEST_CASE("pending calls fail when the address changes", "[StoreClient]")
+{
+    const ViewKind kind = anyKind();
+    const bool sent = GENERATE(true, false);
+    AddressChange change;
+    change.startCalls(kind);
+    if (sent)
+        REQUIRE(runUntil(change.context, [&] { return change.before.held.size() == 3; }));
+    change.client->setAddress(change.after.endpoint);
+    CHECK(change.results.empty()); // Handlers are called asynchronously.
+    REQUIRE(runUntil(change.context, [&] { return change.results.size() == 3; }));
+    std::ranges::sort(change.results);
+    const auto write = sent ? PlatformResult::LostAnswer : PlatformResult::Unavailable;
+    CHECK(change.results
+          == std::vector{PlatformResult::Unavailable, PlatformResult::Unavailable, write});
+
+    const std::size_t heldBefore = change.before.held.size();
+    change.startCalls(kind);
+    REQUIRE(runUntil(change.context, [&] { return change.after.held.size() == 3; }));
+    CHECK(change.before.held.size() == heldBefore);
+    CHECK(change.results.size() == 3);
+}
+
+// Guards against calls left in the queue behind those that are being answered.
+TEST_CASE("queued calls fail when the address changes", "[StoreClient]")
+{
+    constexpr std::size_t calls = 20;
+    AddressChange change;
+    for (std::size_t i = 0; i < calls; ++i)
+        change.client->list(ViewKind::Upstreams, change.onList());
+    REQUIRE(runUntil(change.context, [&] { return !change.before.held.empty(); }));
+    change.client->setAddress(change.after.endpoint);
+    REQUIRE(runUntil(change.context, [&] { return change.results.size() == calls; }));
+    CHECK(std::ranges::count(change.results, PlatformResult::Unavailable) == calls);
+}
+
+// Guards against a handler that sends the next call to the address before, or whose client is used
+// after the handler has destroyed it.
+TEST_CASE("a handler may use or destroy the client when the address changes", "[StoreClient]")
+{
+    const bool destroy = GENERATE(false, true);
+    AddressChange change;
+    int failed = 0;
+    for (int i = 0; i < 2; ++i) {
+        change.client->list(ViewKind::Upstreams, [&](const ViewList &) {
+            ++failed;
+            if (destroy)
+                change.client.reset();
+            else
+                change.client->list(ViewKind::Upstreams, change.onList());
+        });
+    }
+    REQUIRE(runUntil(change.context, [&] { return change.before.held.size() == 2; }));
+    change.client->setAddress(change.after.endpoint);
+    const std::size_t expected = destroy ? 0 : 2;
+    REQUIRE(runUntil(change.context, [&] {
+        return failed == (destroy ? 1 : 2) && change.after.held.size() == expected;
+    }));
+    change.context.restart();
+    change.context.run_for(std::chrono::milliseconds(20));
+    CHECK(failed == (destroy ? 1 : 2));
+    CHECK(change.before.held.size() == 2);
+}
