Treat upstreams that return from an outage as cold

Cause: UpstreamHealth::onProbeResult turns an upstream that was confirmed down into Alive as soon as a probe connects, and Upstream::coldUntil comes from the registry or the end of an evacuation only. After a restart while the store is silent it gets full load, and more, as it has no flows.

Change: UpstreamHealth records how an outage was confirmed (two refused probes, or two that timed out while a reference was reached). On its end, ColdStartPolicy treats the upstream as cold for the slow start of its service, within its ColdStartBudget, unless the service has no cold rate.

An outage seen while no other upstream was reached either is one of this instance, and infers nothing. An upstream that timed out takes flows beyond its budget if its service has no other usable upstream: after a partition most are warm, and a refused request is lost for certain. Outages are recorded apart from isConfirmedDown, so that a change of what proves an upstream down leaves this rule alone.

--- a/fuzz/FuzzPacket.cpp
+++ b/fuzz/FuzzPacket.cpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 
 using namespace bulrushgap;
@@ -54,6 +55,9 @@
         };
         result.verifyRegistry = [] {
         };
+        result.registryConfirmedAt = [] {
+            return std::optional<TimePoint>();
+        };
         result.resetFlow = [](const FlowPacket &, UpstreamIndex) {
         };
         return result;
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -80,6 +80,9 @@
     result.verifyRegistry = [this] {
         this->view.verifyUpstreams(this->store);
     };
+    result.registryConfirmedAt = [this] {
+        return this->view.registryConfirmedAt();
+    };
     result.resetFlow = [this](const FlowPacket &flow, UpstreamIndex upstream) {
         this->hooks.resetCaller(flow);
         this->log.info("flow_reset", {{"flow", flowName(flow)},
--- a/src/coldstart/ColdStartPolicy.cpp
+++ b/src/coldstart/ColdStartPolicy.cpp
@@ -45,4 +45,30 @@
     }
 }
 
+void ColdStartPolicy::markReturned(UpstreamIndex upstream, const Outage &outage, TimePoint now)
+{
+    Upstream &subject = this->directory.at(upstream);
+    const ServiceLimits &limits = this->routes.limits(subject.entry.service);
+    if (limits.coldRequestsPerSecond <= 0 || limits.slowStart <= Duration::zero())
+        return;
+    subject.coldReturn.emplace(outage, now, limits.slowStart);
+    if (std::ranges::find(this->returned, upstream) == this->returned.end())
+        this->returned.push_back(upstream);
+}
+
+void ColdStartPolicy::confirmReturned(TimePoint registryConfirmedAt)
+{
+    std::erase_if(this->returned, [&](UpstreamIndex index) {
+        Upstream &upstream = this->directory.at(index);
+        // Entries that lapsed in an outage of the registry are complete only after its grace
+        // period.
+        const bool complete = registryConfirmedAt >= this->directory.graceEnd();
+        const bool confirmed = upstream.coldReturn && upstream.registered && complete
+                               && upstream.coldReturn->isListedBy(registryConfirmedAt);
+        if (confirmed)
+            upstream.coldReturn.reset();
+        return !upstream.coldReturn;
+    });
+}
+
 } // namespace bulrushgap::balance
--- a/src/coldstart/ColdStartPolicy.h
+++ b/src/coldstart/ColdStartPolicy.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <string_view>
+#include <vector>
 
 namespace bulrushgap::balance {
 
@@ -29,10 +30,22 @@
     /** \brief Treats the upstreams of a failure domain as cold, since they may have become so. */
     void markDomainCold(std::string_view domain, TimePoint now);
 
+    /** \brief Treats an upstream as cold that has returned from an outage and may have restarted.
+     */
+    void markReturned(UpstreamIndex upstream, const Outage &outage, TimePoint now);
+
+    /** \brief Ends the coldness of returned upstreams whose entries the store has confirmed since.
+     */
+    void confirmReturned(TimePoint registryConfirmedAt);
+
+    /** \returns whether upstreams have returned of which it is not known whether they are cold. */
+    [[nodiscard]] bool awaitsConfirmation() const { return !this->returned.empty(); }
+
 private:
     UpstreamDirectory &directory;
     const RouteTable &routes;
     SharerCheck isSharer;
+    std::vector<UpstreamIndex> returned; //!< Those with a ColdReturn, and some that had one.
 };
 
 } // namespace bulrushgap::balance
--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "base/Time.h"
+#include "coldstart/ColdReturn.h"
 #include "coldstart/ColdStartBudget.h"
 #include "directory/UpstreamEntry.h"
 #include "health/UpstreamHealth.h"
 
 #include <cstdint>
+#include <optional>
 
 namespace bulrushgap::balance {
 
@@ -23,14 +25,26 @@
     bool registered = true;      //!< The registry has an entry for it.
     bool tagIsAmbiguous = false; //!< Another upstream has the same tag.
     TimePoint deregisteredAt{};
-    std::uint64_t revision = 0; //!< Store revision of the entry.
-    TimePoint coldUntil{};
+    std::uint64_t revision = 0;           //!< Store revision of the entry.
+    TimePoint coldUntil{};                //!< By its entry, or the return of its domain.
+    std::optional<ColdReturn> coldReturn; //!< A return after which it may be cold.
     ColdStartBudget coldBudget;
     UpstreamHealth health;
     bool isMonitored = false;      //!< In the failure detector's list of monitored upstreams.
     bool replaced = false;         //!< Another listed upstream has its address.
     std::uint32_t openFlows = 0;   //!< Flows of this instance.
     std::uint32_t outstanding = 0; //!< Pending requests of this instance.
+
+    [[nodiscard]] bool isCold(TimePoint now) const
+    {
+        return now < this->coldUntil || (this->coldReturn && this->coldReturn->isCold(now));
+    }
+
+    /** \returns whether it counts as cold only because it was cut off for a while. */
+    [[nodiscard]] bool isProbablyWarm(TimePoint now) const
+    {
+        return now >= this->coldUntil && this->coldReturn && !this->coldReturn->wasRefused();
+    }
 };
 
 } // namespace bulrushgap::balance
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -115,6 +115,9 @@
         return;
     const bool wasRegistered = std::exchange(upstream.registered, true);
     this->inGracePeriod.erase(index);
+    // The upstream has registered again, as this or another incarnation: its entry tells all.
+    if (!wasRegistered && entry.revision > upstream.revision)
+        upstream.coldReturn.reset();
     upstream.revision = entry.revision;
     if (wasRegistered && upstream.entry == entry.entry)
         return;
@@ -125,6 +128,7 @@
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry.entry.slowStart);
     if (restarted) {
         upstream.health.reset();
+        upstream.coldReturn.reset();
         this->notify(DirectoryChange::Kind::Restarted, index);
     } else if (entry.entry.state == stateBefore) {
         this->notify(wasRegistered ? DirectoryChange::Kind::Changed : DirectoryChange::Kind::Added,
--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -82,13 +82,16 @@
                                    std::string_view evidence, TimePoint now)
 {
     this->monitor(upstream);
-    const UpstreamHealth &health = this->directory.at(upstream).health;
+    UpstreamHealth &health = this->directory.at(upstream).health;
     if (const auto next = health.probeAt())
         this->schedule(std::max(*next, now));
     if (this->hooks.onLivenessChange)
         this->hooks.onLivenessChange(upstream, before, evidence);
     if (health.isConfirmedDown())
         this->hooks.onConfirmedDown(upstream);
+    const auto outage = health.takeEndedOutage();
+    if (outage && this->hooks.onReturn)
+        this->hooks.onReturn(upstream, *outage, now);
 }
 
 bool FailureDetector::tick(TimePoint now)
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -29,6 +29,9 @@
 
     /** The upstream is confirmed down: nothing sent to it will be answered. */
     std::function<void(UpstreamIndex upstream)> onConfirmedDown;
+
+    /** The upstream has returned from an outage; may be empty. */
+    std::function<void(UpstreamIndex upstream, const Outage &outage, TimePoint now)> onReturn = {};
 };
 
 /** \brief Monitors upstreams with an answer due, and probes those that are suspect.
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -83,16 +83,22 @@
     const Liveness before = this->state;
     this->probeInterval = std::min(this->probeInterval * 2, internal::maxProbeInterval);
     this->nextProbe = now + this->probeInterval;
+    if (result != ProbeResult::TimedOut)
+        this->provenTimeouts = 0;
     switch (result) {
     case ProbeResult::Refused:
         this->timeouts = 0;
         this->state = Liveness::Refusing;
         if (++this->refusals == 1)
             this->nextProbe = now + internal::refusalInterval;
+        if (this->refusals == internal::confirmingRefusals)
+            this->recordOutage(Outage::Kind::Refused, now);
         break;
     case ProbeResult::TimedOut:
         this->refusals = 0;
         ++this->timeouts;
+        if (++this->provenTimeouts == internal::confirmingTimeouts)
+            this->recordOutage(Outage::Kind::TimedOut, now);
         this->evaluateTimeouts(now);
         break;
     case ProbeResult::Inconclusive:
@@ -139,6 +145,21 @@
            || (this->state == Liveness::Refusing && this->refusals >= internal::confirmingRefusals);
 }
 
+void UpstreamHealth::recordOutage(Outage::Kind kind, TimePoint now)
+{
+    // A host that lost power refuses connections once it runs again without the process.
+    if (this->outage && this->outage->kind == Outage::Kind::Refused)
+        kind = Outage::Kind::Refused;
+    this->outage = Outage{kind, this->suspectedAt, now};
+}
+
+std::optional<Outage> UpstreamHealth::takeEndedOutage()
+{
+    if (this->state == Liveness::Refusing || this->state == Liveness::Unreachable)
+        return std::nullopt;
+    return std::exchange(this->outage, std::nullopt);
+}
+
 void UpstreamHealth::probeStarted(TimePoint now)
 {
     ++this->pendingProbes;
@@ -154,10 +175,13 @@
     this->timeouts = 0;
     this->inconclusive = 0;
     this->refusals = 0;
+    this->provenTimeouts = 0;
     this->probeInterval = internal::minProbeInterval;
     this->nextProbe.reset();
-    if (next == Liveness::Suspect)
+    if (next == Liveness::Suspect) {
         this->nextProbe = now;
+        this->suspectedAt = now;
+    }
 }
 
 } // namespace bulrushgap::balance
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -25,6 +25,19 @@
     Inconclusive, //!< No answer, nor from any other upstream: the fault may be local.
 };
 
+/** \brief How an upstream was found to be down. */
+struct Outage
+{
+    enum class Kind : std::uint8_t {
+        Refused,  //!< Its process was not running, so it may return as another incarnation.
+        TimedOut, //!< It was cut off or had no power, while other upstreams were reached.
+    };
+
+    Kind kind = Kind::Refused;
+    TimePoint suspectedAt{}; //!< Its flows that were open before are lost if it restarts.
+    TimePoint confirmedAt{};
+};
+
 /** \brief Failure detection for one upstream, from overdue answers and probe results.
  *
  * Detects upstreams that fail without notice. Each answer that a caller acknowledges shows that the
@@ -63,6 +76,10 @@
      * probes failed in the same way. */
     [[nodiscard]] bool isConfirmedDown() const;
 
+    /** \returns the outage from which the upstream has returned, once; nothing while it is down. An
+     * outage of this instance's own connectivity is none of the upstream. */
+    [[nodiscard]] std::optional<Outage> takeEndedOutage();
+
     [[nodiscard]] Liveness liveness() const { return this->state; }
     [[nodiscard]] bool isWaiting() const { return this->answerDue.has_value(); }
     [[nodiscard]] std::optional<TimePoint> answerDueAt() const { return this->answerDue; }
@@ -74,18 +91,22 @@
 
 private:
     void evaluateTimeouts(TimePoint now);
+    void recordOutage(Outage::Kind kind, TimePoint now);
     void setState(Liveness next, TimePoint now);
 
     Liveness state = Liveness::Alive;
     std::optional<TimePoint> answerDue;
     std::optional<TimePoint> nextProbe;
     TimePoint answeredAt{};
+    TimePoint suspectedAt{};
+    std::optional<Outage> outage; //!< Present or ended outage, until it is taken.
     TimePoint clearedByProbeAt{}; //!< When a probe last cleared a suspicion without an answer.
     Duration probeInterval{};
     unsigned pendingProbes = 0;
-    unsigned timeouts = 0;     //!< Consecutive probes that timed out.
-    unsigned inconclusive = 0; //!< Consecutive inconclusive probes.
-    unsigned refusals = 0;     //!< Consecutive probes that were refused.
+    unsigned timeouts = 0;       //!< Consecutive probes that timed out.
+    unsigned inconclusive = 0;   //!< Consecutive inconclusive probes.
+    unsigned refusals = 0;       //!< Consecutive probes that were refused.
+    unsigned provenTimeouts = 0; //!< Consecutive timeouts while another upstream was reached.
 };
 
 } // namespace bulrushgap::balance
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -18,6 +18,7 @@
 constexpr double suspectPenalty = 100.0;
 constexpr double triedDomainPenalty = 200.0;
 constexpr double triedPenalty = 300.0;
+constexpr double coldReturnPenalty = 900.0; //!< Beyond its budget, only if all others fail.
 constexpr double refusingPenalty = 1'000.0;
 constexpr double maxJitter = 0.01;
 
@@ -69,12 +70,15 @@
                                choice);
         }
         // Refuse the flow only after every candidate was considered.
-        for (std::size_t i = 0; i < candidates.size() && choice.upstream == noUpstream; ++i)
+        const auto isLastResort = [&choice] {
+            return choice.upstream == noUpstream || choice.score >= internal::coldReturnPenalty;
+        };
+        for (std::size_t i = 0; i < candidates.size() && isLastResort(); ++i)
             this->consider(candidates[i], constraints, now, choice);
     }
     if (choice.upstream != noUpstream) {
         Upstream &upstream = this->directory.at(choice.upstream);
-        if (now < upstream.coldUntil)
+        if (upstream.isCold(now))
             static_cast<void>(upstream.coldBudget.take(now));
     }
     return choice;
@@ -88,11 +92,15 @@
         ++choice.unreachable;
         return;
     }
-    if (now < upstream.coldUntil && !upstream.coldBudget.available(now)) {
+    const bool withoutBudget = upstream.isCold(now) && !upstream.coldBudget.available(now);
+    if (withoutBudget) {
         ++choice.withoutBudget;
-        return;
+        if (!upstream.isProbablyWarm(now))
+            return;
     }
     double score = this->scoreOf(upstream, constraints, now);
+    if (withoutBudget)
+        score += internal::coldReturnPenalty;
     if (this->wasTried(index, constraints))
         score += internal::triedPenalty;
     if (choice.upstream != noUpstream && score >= choice.score)
@@ -112,7 +120,7 @@
         score += requests * this->instancesPerDomain / slots;
     else
         score += requests * this->instancesPerDomain / slots + internal::crossDomainPenalty;
-    if (now < upstream.coldUntil)
+    if (upstream.isCold(now))
         score += internal::slowStartPenalty;
     score += internal::livenessPenalty(upstream.health.liveness());
     if (constraints.avoidTriedDomains && this->isInTriedDomain(upstream, constraints))
--- a/src/steering/FlowObserver.cpp
+++ b/src/steering/FlowObserver.cpp
@@ -128,8 +128,13 @@
             this->hooks.onResponse(time);
     }
     this->completeRequest(flow);
-    if (recent)
-        this->detector.onAnswer(upstream, now);
+    if (!recent)
+        return;
+    this->detector.onAnswer(upstream, now);
+    std::optional<ColdReturn> &coldReturn = this->directory.at(upstream).coldReturn;
+    const TimePoint openedAt = std::max(flow.firstSeen, flow.synSentAt);
+    if (coldReturn && coldReturn->isDisprovedBy(openedAt, now - sinceLastPacket))
+        coldReturn.reset();
 }
 
 void FlowObserver::observeRequest(const FlowPacket &packet, FlowState &flow, UpstreamIndex upstream,
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -55,8 +55,9 @@
     , hooks(std::move(hooks))
     , detector(directory, {this->hooks.startProbe, this->hooks.startReferenceProbe,
                            this->hooks.onLivenessChange,
-                           [this](UpstreamIndex upstream) {
-                               this->resetPendingFlows(upstream);
+                           [this](UpstreamIndex upstream) { this->resetPendingFlows(upstream); },
+                           [this](UpstreamIndex upstream, const Outage &outage, TimePoint now) {
+                               this->coldStart.markReturned(upstream, outage, now);
                            }})
     , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
     , placement(directory, std::move(settings.domain), random)
@@ -164,6 +165,7 @@
                                        FlowState *flow, TimePoint now)
 {
     const PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
+    this->confirmReturned();
     this->choice = this->placement.choose(this->serviceFor(route), constraints, now);
     if (this->choice.upstream == noUpstream)
         return internal::reset(internal::refusalReason(this->choice));
@@ -234,6 +236,14 @@
     });
 }
 
+void PacketSteering::confirmReturned()
+{
+    if (!this->coldStart.awaitsConfirmation())
+        return;
+    if (const auto confirmedAt = this->hooks.registryConfirmedAt())
+        this->coldStart.confirmReturned(*confirmedAt);
+}
+
 std::optional<TimePoint> PacketSteering::tick(TimePoint now)
 {
     if (now - this->lastSweepAt > internal::sweepInterval) {
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -47,6 +47,10 @@
      * PacketSteering::registryVerified. */
     std::function<void()> verifyRegistry;
 
+    /** \returns when the store last confirmed the registry that this instance knows, or nothing
+     * while it can't be read. */
+    std::function<std::optional<TimePoint>()> registryConfirmedAt;
+
     /** Resets a flow with a pending request to an unreachable upstream. */
     std::function<void(const FlowPacket &flow, UpstreamIndex upstream)> resetFlow;
 
@@ -126,6 +130,7 @@
     [[nodiscard]] bool hasFailed(const CallerAttempts::Attempt &attempt, const FlowPacket &packet,
                                  TimePoint now) const;
     void resetPendingFlows(UpstreamIndex upstream);
+    void confirmReturned();
 
     UpstreamDirectory &directory;
     RouteTable &routes;
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -291,8 +291,18 @@
     }
 }
 
+std::optional<TimePoint> ViewFollower::registryConfirmedAt() const
+{
+    // The watch of another kind may reach a store that returns first.
+    if (!this->upstreamsReachable)
+        return std::nullopt;
+    return this->scheduler.now() - this->store.age();
+}
+
 void ViewFollower::onReachable(ViewKind kind, bool reachable)
 {
+    if (kind == ViewKind::Upstreams)
+        this->upstreamsReachable = reachable;
     if (reachable) {
         if (kind == ViewKind::Upstreams && this->store.takeStoreFailure())
             this->targets.directory.registryRecovered(this->scheduler.now());
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -43,6 +43,10 @@
     /** \brief Lists all upstreams of \a registry and applies changes that the watch has missed. */
     void verifyUpstreams(ObjectSource &registry);
 
+    /** \returns when the store last confirmed the upstreams of the view, or nothing while they
+     * can't be read. */
+    [[nodiscard]] std::optional<TimePoint> registryConfirmedAt() const;
+
     /** \returns all objects of a kind in the view. */
     [[nodiscard]] std::vector<ViewItem> snapshot(ViewKind kind) const;
 
@@ -83,6 +87,7 @@
     std::uint64_t upstreamsRevision = 0; //!< Store revision up to which upstreams are known.
     bool membersKnown = false;
     bool upstreamsKnown = false;
+    bool upstreamsReachable = false;
     bool evacuationsKnown = false;
 };
 
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -136,6 +137,9 @@
         result.verifyRegistry = [this] {
             ++this->verifications;
         };
+        result.registryConfirmedAt = [] {
+            return std::optional<TimePoint>();
+        };
         result.resetFlow = [this](const FlowPacket &flow, UpstreamIndex) {
             this->resets.push_back(flow.caller);
         };
