Draw random faults in one order on all machines

Cause: RandomFaults::injectOne draws three random numbers in the arguments of one call. Contraction of floating point is not the cause: a build with -march=haswell -ffp-contract=fast (fused operations in ByteBudget and RetryBudget) writes the same output as the usual one before and after this change.

Change: the numbers are drawn one after the other, from the left.

--- a/tests/EngineFaults.cpp
+++ b/tests/EngineFaults.cpp
@@ -241,8 +241,10 @@
     {
         const std::size_t instance
             = this->draw(static_cast<unsigned>(this->cluster.instanceCount()));
-        const auto upstream
-            = this->cluster.upstreamName(this->draw(2), this->draw(2), this->draw(3));
+        // The order in which arguments are evaluated differs between compilers and machines.
+        const unsigned domain = this->draw(2);
+        const unsigned service = this->draw(2);
+        const auto upstream = this->cluster.upstreamName(domain, service, this->draw(3));
         const auto kind = this->draw(10);
         if (kind <= 2)
             this->changeInstance(kind, instance);
