--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -283,8 +283,18 @@
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
+std::optional<TimePoint> ViewFollower::registryConfirmedAt() const
+{
+    // The watch of another kind may reach a store that returns first.
+    if (!this->upstreamsReachable)
+        return std::nullopt;
+    return this->scheduler.now() - this->store.age();
+}
+
 void ViewFollower::onReachable(ViewKind kind, bool reachable)
 {
+    if (kind == ViewKind::Upstreams)
+        this->upstreamsReachable = reachable;
     if (reachable) {
         if (kind == ViewKind::Upstreams && this->store.takeStoreFailure())
             this->targets.directory.registryRecovered(this->scheduler.now());
