Directory: index the failure domains

Cause: per-domain state needs an index; a comparison of names for each packet would cost more. Change: each upstream has the index of its entry's domain; indexes are never reused.

--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -1,6 +1,7 @@
 #include "directory/UpstreamDirectory.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -90,6 +91,7 @@
     Upstream &upstream = this->upstreams[index];
     upstream.registered = true;
     upstream.entry = entry.entry;
+    upstream.domainIndex = this->domainIndexOf(entry.entry.domain);
     upstream.revision = entry.revision;
     upstream.coldUntil = now + entry.entry.slowStart;
     this->byName.emplace(entry.entry.name, index);
@@ -121,6 +123,7 @@
     const bool restarted = upstream.entry.startedAtMs != entry.entry.startedAtMs;
     const UpstreamState stateBefore = upstream.entry.state;
     upstream.entry = entry.entry;
+    upstream.domainIndex = this->domainIndexOf(entry.entry.domain);
     if (entry.entry.slowStart > Duration::zero())
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry.entry.slowStart);
     if (restarted) {
@@ -203,6 +206,17 @@
     this->upstreams[found->second].tagIsAmbiguous = true;
 }
 
+DomainIndex UpstreamDirectory::domainIndexOf(std::string_view domain)
+{
+    const auto found = std::ranges::find(this->domains, domain);
+    if (found != this->domains.end())
+        return static_cast<DomainIndex>(found - this->domains.begin());
+    // Entries beyond this number of domains are faulty; they share the last index.
+    if (this->domains.size() <= std::numeric_limits<DomainIndex>::max())
+        this->domains.emplace_back(domain);
+    return static_cast<DomainIndex>(this->domains.size() - 1);
+}
+
 void UpstreamDirectory::rebuildCandidates()
 {
     for (auto &[service, indexes] : this->byService)
@@ -258,6 +272,14 @@
         this->upstreams, [](const Upstream &upstream) { return upstream.registered; }));
 }
 
+std::size_t UpstreamDirectory::registeredCount(DomainIndex domain) const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(this->upstreams, [domain](const Upstream &upstream) {
+            return upstream.registered && upstream.domainIndex == domain;
+        }));
+}
+
 void UpstreamDirectory::notify(DirectoryChange::Kind kind, UpstreamIndex index)
 {
     if (this->onChange)
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -98,6 +98,14 @@
     [[nodiscard]] std::size_t size() const { return this->upstreams.size(); }
     [[nodiscard]] std::size_t registeredCount() const;
 
+    /** \returns the number of registered upstreams in a failure domain. */
+    [[nodiscard]] std::size_t registeredCount(DomainIndex domain) const;
+
+    [[nodiscard]] std::string_view domainName(DomainIndex domain) const
+    {
+        return this->domains[domain];
+    }
+
 private:
     using Candidates = std::map<std::string, std::vector<UpstreamIndex>, std::less<>>;
 
@@ -110,12 +118,14 @@
     void discard(UpstreamIndex index);
     [[nodiscard]] UpstreamIndex allocateIndex();
     void indexTag(UpstreamIndex index);
+    [[nodiscard]] DomainIndex domainIndexOf(std::string_view domain);
     void rebuildCandidates();
     void notify(DirectoryChange::Kind kind, UpstreamIndex index);
 
     ChangeHandler onChange;
     KeyedHash tagHash;
     std::vector<Upstream> upstreams;
+    std::vector<std::string> domains; //!< By DomainIndex.
     std::map<std::string, UpstreamIndex, std::less<>> byName;
     boost::unordered_flat_map<std::uint32_t, UpstreamIndex> byTag;
     Candidates byService;
