Decide on the reachability of failure domains, and on refused probes

Cause: in a partition each instance proved each upstream of the other domains unreachable by itself; SYNs and their copies went from one of them to the next. Two refused probes reset open flows of an upstream that only limited its connections. Change: DomainReachability makes a domain unreachable once probes of three of its upstreams failed since it last answered, while another domain accepts connections. Placement excludes it, one probe each 250 ms checks it, and its suspect upstreams count as alive when it is back. Refused probes are a proof only if no upstream of the domain has answered and the probe of a neighbour has failed. Result: tests/PacketSteering.cpp, "refused probes prove nothing while the domain answers", failed before in two of five rows and passes.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -74,6 +74,9 @@
         = [this](UpstreamIndex upstream, Liveness before, std::string_view evidence) {
               this->onLivenessChange(upstream, before, evidence);
           };
+    result.onReachabilityChange = [this](const ReachabilityChange &change) {
+        this->onReachabilityChange(change);
+    };
     result.isBudgetSharer = [this](std::string_view upstream, unsigned count) {
         return this->sources.isSelected(upstream, count);
     };
@@ -134,11 +137,11 @@
 {
     this->counters.add("probe_witness");
     const TimePoint startedAt = this->scheduler.now();
-    this->hooks.probe(this->directory.at(upstream).entry.address,
-                      [this, startedAt](ProbeResult result) {
-                          if (result == ProbeResult::Connected)
-                              this->steering.onReferenceConnected(startedAt, this->scheduler.now());
-                      });
+    this->hooks.probe(this->directory.at(upstream).entry.address, [this, upstream,
+                                                                   startedAt](ProbeResult result) {
+        this->steering.onReferenceResult(upstream, result, startedAt, this->scheduler.now());
+        this->scheduleTick();
+    });
 }
 
 void Balancer::start()
@@ -240,7 +243,8 @@
                               {"store_lists", this->counters.value("store_list")},
                               {"store_watches", this->counters.value("store_watch")},
                               {"store_writes", this->counters.value("store_write")},
-                              {"probes", this->counters.value("probe")}});
+                              {"probes", this->counters.value("probe")},
+                              {"unreachable_domains", this->unreachableDomains()}});
     this->statusTimer
         = this->scheduler.after(internal::statusInterval, [this] { this->reportStatus(); });
 }
@@ -282,6 +286,21 @@
                                        {"flows", changed.openFlows}});
 }
 
+void Balancer::onReachabilityChange(const ReachabilityChange &change)
+{
+    if (change.unreachable)
+        this->counters.add("domain_unreachable");
+    const Duration silence = this->scheduler.now() - change.lastAnswer;
+    const std::string_view reachable = "reachable";
+    const std::string_view unreachable = "unreachable";
+    this->log.info("domain_reachability", {{"domain", this->directory.domainName(change.domain)},
+                                           {"before", change.unreachable ? reachable : unreachable},
+                                           {"after", change.unreachable ? unreachable : reachable},
+                                           {"evidence", change.evidence},
+                                           {"failed", change.failedUpstreams},
+                                           {"last_answer_ms", toMilliseconds(silence)}});
+}
+
 void Balancer::logDirectoryChange(const DirectoryChange &change)
 {
     const Upstream &changed = this->directory.at(change.upstream);
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -92,6 +92,12 @@
     {
         return this->directory.candidates(service).size();
     }
+
+    /** \returns the number of failure domains that this instance cannot reach. */
+    [[nodiscard]] std::size_t unreachableDomains() const
+    {
+        return this->steering.reachability().unreachableCount();
+    }
     [[nodiscard]] ObjectMirror &objectMirror() { return this->mirror; }
     [[nodiscard]] const RouteTable &routeTable() const { return this->routes; }
 
@@ -115,6 +121,7 @@
     void onViewChange();
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
+    void onReachabilityChange(const ReachabilityChange &change);
     void logDirectoryChange(const DirectoryChange &change);
     [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -17,29 +17,49 @@
 /** An instance without any answer for this long is isolated; a congested link delays less. */
 constexpr Duration isolationTimeout = std::chrono::milliseconds(600);
 
-/** Upstreams examined per search for a reference. */
-constexpr std::size_t maxReferenceSamples = 32;
+/** Interval between the probes that check whether an unreachable domain is back. */
+constexpr Duration domainCheckInterval = std::chrono::milliseconds(250);
+
+/** While the refusals of an upstream go on, its neighbours are probed only if their domain has not
+ * answered for this long. */
+constexpr Duration recentAnswer = std::chrono::milliseconds(200);
+
+/** Callers acknowledge answers this much later than the upstream sent them, so an upstream may
+ * become suspect in a partition before the last answer of its domain is seen. */
+constexpr Duration answerTravelTime = std::chrono::milliseconds(200);
 
 } // namespace internal
 
-FailureDetector::FailureDetector(UpstreamDirectory &directory, FailureDetectorHooks hooks)
+FailureDetector::FailureDetector(UpstreamDirectory &directory, FailureDetectorHooks hooks,
+                                 std::string domain)
     : directory(directory)
     , hooks(std::move(hooks))
+    , domains([this](const ReachabilityChange &change, TimePoint now) {
+        this->onReachabilityChange(change, now);
+    })
+    , domainProbes(directory, this->domains, std::move(domain))
 {}
 
 void FailureDetector::expectAnswer(UpstreamIndex upstream, TimePoint now, Duration within)
 {
+    const Upstream &subject = this->directory.at(upstream);
     this->directory.at(upstream).health.expectAnswer(now, now + within);
     this->monitor(upstream);
     this->schedule(now + within);
+    if (!this->domains.isUnreachable(subject.domainIndex))
+        return;
+    this->markSuspect(upstream, "domain_unreachable", now);
+    if (const auto probe = subject.health.probeAt())
+        this->schedule(std::max(*probe, now));
 }
 
 void FailureDetector::onAnswer(UpstreamIndex upstream, TimePoint now)
 {
+    this->lastAnswerAt = now;
+    this->domains.onAnswer(this->directory.at(upstream).domainIndex, now);
     UpstreamHealth &health = this->directory.at(upstream).health;
     const Liveness before = health.liveness();
     health.onAnswer(now);
-    this->lastAnswerAt = now;
     if (before != Liveness::Alive)
         this->reportChange(upstream, before, "answer_acknowledged", now);
 }
@@ -50,21 +70,41 @@
         this->reportChange(upstream, Liveness::Alive, evidence, now);
 }
 
-void FailureDetector::onReferenceConnected(TimePoint startedAt, TimePoint now)
+void FailureDetector::onReferenceResult(UpstreamIndex upstream, ProbeResult result,
+                                        TimePoint startedAt, TimePoint now)
+{
+    if (result == ProbeResult::Connected) {
+        this->onConnected(upstream, startedAt, now);
+        return;
+    }
+    if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
+        return;
+    const DomainIndex domain = this->directory.at(upstream).domainIndex;
+    this->domains.onProbeFailed(domain, {upstream, result, startedAt, true},
+                                this->directory.registeredCount(domain), now);
+}
+
+void FailureDetector::onConnected(UpstreamIndex upstream, TimePoint startedAt, TimePoint now)
 {
     this->lastConnectedProbe = std::max(this->lastConnectedProbe, startedAt);
     this->lastAnswerAt = now;
+    this->domains.onConnected(this->directory.at(upstream).domainIndex, startedAt, now);
+}
+
+bool FailureDetector::isReferenceReached(TimePoint startedAt) const
+{
+    return this->lastConnectedProbe + internal::referenceTolerance >= startedAt;
 }
 
 void FailureDetector::onProbeResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                                     TimePoint now)
 {
     if (result == ProbeResult::Connected)
-        this->onReferenceConnected(startedAt, now);
-    const bool referenceReached
-        = this->lastConnectedProbe + internal::referenceTolerance >= startedAt;
-    if (result == ProbeResult::TimedOut && !referenceReached)
+        this->onConnected(upstream, startedAt, now);
+    if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
         result = ProbeResult::Inconclusive;
+    if (result == ProbeResult::Refused)
+        this->discardUnprovenRefusals(upstream);
     UpstreamHealth &health = this->directory.at(upstream).health;
     const Liveness before = health.liveness();
     bool changed = health.onProbeResult(result, now);
@@ -76,6 +116,36 @@
         this->schedule(*next);
     if (changed)
         this->reportChange(upstream, before, "probe", now);
+    if (result == ProbeResult::TimedOut || result == ProbeResult::Refused)
+        this->onProbeFailed(upstream, result, startedAt, now);
+}
+
+void FailureDetector::discardUnprovenRefusals(UpstreamIndex upstream)
+{
+    Upstream &subject = this->directory.at(upstream);
+    const auto since = subject.health.refusedSince();
+    if (!since)
+        return;
+    const DomainIndex domain = subject.domainIndex;
+    const bool answered = this->domains.lastAnswer(domain) > *since;
+    const std::size_t others
+        = this->directory.registeredCount(domain) - (subject.registered ? 1 : 0);
+    const bool proven = subject.health.isConfirmedDown() || others == 0
+                        || this->domains.hasFailedBeside(domain, upstream);
+    if (answered || !proven)
+        subject.health.discardRefusals();
+}
+
+void FailureDetector::onProbeFailed(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
+                                    TimePoint now)
+{
+    const Upstream &subject = this->directory.at(upstream);
+    this->domains.onProbeFailed(subject.domainIndex, {upstream, result, startedAt, false},
+                                this->directory.registeredCount(subject.domainIndex), now);
+    if (subject.health.liveness() == Liveness::Alive || subject.health.isConfirmedDown())
+        return;
+    const bool first = result == ProbeResult::TimedOut || !subject.health.hasDiscardedRefusals();
+    this->probeNeighbours(upstream, first ? startedAt : now - internal::recentAnswer, now);
 }
 
 void FailureDetector::reportChange(UpstreamIndex upstream, Liveness before,
@@ -99,6 +169,8 @@
     this->checkAt.reset();
     if (paused) {
         this->cancelExpectedAnswers(now);
+        this->domains.discardFailures();
+        this->checkUnreachableDomains(now);
         return true;
     }
     this->checked.swap(this->monitored);
@@ -108,6 +180,7 @@
         this->check(upstream, now);
     }
     this->checked.clear();
+    this->checkUnreachableDomains(now);
     return false;
 }
 
@@ -127,7 +200,7 @@
         this->schedule(*due);
     }
     const auto probe = health.probeAt();
-    if (!probe)
+    if (!probe || this->needsNoProbe(subject))
         return;
     if (now < *probe) {
         this->monitor(upstream);
@@ -140,9 +213,12 @@
 void FailureDetector::startProbe(UpstreamIndex upstream, TimePoint now)
 {
     UpstreamHealth &health = this->directory.at(upstream).health;
+    const bool isSecond = health.pendingProbeCount() > 0;
     health.probeStarted(now);
     this->hooks.startProbe(upstream);
     this->probeReference(upstream, now);
+    if (isSecond)
+        this->probeNeighbours(upstream, health.suspectedAt(), now);
     if (const auto next = health.probeAt()) {
         this->monitor(upstream);
         this->schedule(*next);
@@ -154,32 +230,91 @@
     // One reference probe serves all probes of the same time window.
     if (now - this->referenceProbedAt < internal::referenceTolerance)
         return;
-    const UpstreamIndex reference = this->chooseReference(subject);
+    const UpstreamIndex reference = this->domainProbes.reference(subject, now);
     if (reference == noUpstream)
         return;
     this->referenceProbedAt = now;
     this->hooks.startReferenceProbe(reference);
 }
 
-UpstreamIndex FailureDetector::chooseReference(UpstreamIndex subject)
+void FailureDetector::probeNeighbours(UpstreamIndex subject, TimePoint since, TimePoint now)
+{
+    const DomainIndex domain = this->directory.at(subject).domainIndex;
+    if (this->domains.isUnreachable(domain) || this->domains.lastAnswer(domain) > since)
+        return;
+    for (const UpstreamIndex neighbour : this->domainProbes.neighbours(subject, now)) {
+        if (neighbour != noUpstream)
+            this->hooks.startReferenceProbe(neighbour);
+    }
+    const UpstreamIndex outside = this->domainProbes.outside(subject);
+    if (outside != noUpstream)
+        this->hooks.startReferenceProbe(outside);
+}
+
+void FailureDetector::onReachabilityChange(const ReachabilityChange &change, TimePoint now)
+{
+    if (this->hooks.onReachabilityChange)
+        this->hooks.onReachabilityChange(change);
+    if (!change.unreachable) {
+        this->clearSuspicions(change, now);
+        return;
+    }
+    if (!this->domainCheckAt)
+        this->domainCheckAt = now + internal::domainCheckInterval;
+    this->schedule(*this->domainCheckAt);
+    this->suspectPending(change.domain, now);
+}
+
+void FailureDetector::suspectPending(DomainIndex domain, TimePoint now)
 {
-    UpstreamIndex best = noUpstream;
-    const std::size_t samples = std::min(internal::maxReferenceSamples, this->directory.size());
-    for (std::size_t i = 0; i < samples; ++i) {
-        this->nextReference
-            = static_cast<UpstreamIndex>((this->nextReference + 1) % this->directory.size());
-        const Upstream &candidate = this->directory.at(this->nextReference);
-        const bool usable = this->nextReference != subject && candidate.registered
-                            && candidate.health.liveness() == Liveness::Alive;
-        if (!usable)
+    for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
+        const Upstream &upstream = this->directory.at(index);
+        if (upstream.domainIndex == domain && upstream.outstanding > 0)
+            this->markSuspect(index, "domain_unreachable", now);
+    }
+}
+
+void FailureDetector::clearSuspicions(const ReachabilityChange &change, TimePoint now)
+{
+    const TimePoint lost = change.lastAnswer - internal::answerTravelTime;
+    for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
+        Upstream &upstream = this->directory.at(index);
+        if (upstream.domainIndex != change.domain)
             continue;
-        const bool fresher
-            = best == noUpstream
-              || candidate.health.lastAnswer() > this->directory.at(best).health.lastAnswer();
-        if (fresher)
-            best = this->nextReference;
+        const Liveness before = upstream.health.liveness();
+        if (upstream.health.suspectedAt() > lost && upstream.health.clearSuspicion(now)) {
+            this->reportChange(index, before, "domain_reachable", now);
+        } else if (const auto probe = upstream.health.probeAt()) {
+            this->monitor(index);
+            this->schedule(std::max(*probe, now));
+        }
     }
-    return best;
+}
+
+void FailureDetector::checkUnreachableDomains(TimePoint now)
+{
+    if (this->domainCheckAt && now >= *this->domainCheckAt) {
+        for (DomainIndex domain = 0; domain < this->domains.domainCount(); ++domain) {
+            if (!this->domains.isUnreachable(domain))
+                continue;
+            const UpstreamIndex upstream = this->domainProbes.next(domain);
+            if (upstream == noUpstream)
+                this->domains.onEmpty(domain, now);
+            else
+                this->hooks.startReferenceProbe(upstream);
+        }
+        this->domainCheckAt.reset();
+        if (this->domains.unreachableCount() > 0)
+            this->domainCheckAt = now + internal::domainCheckInterval;
+    }
+    if (this->domainCheckAt)
+        this->schedule(*this->domainCheckAt);
+}
+
+bool FailureDetector::needsNoProbe(const Upstream &upstream) const
+{
+    return this->domains.isUnreachable(upstream.domainIndex)
+           && (upstream.outstanding == 0 || upstream.health.isConfirmedDown());
 }
 
 void FailureDetector::cancelExpectedAnswers(TimePoint now)
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -4,9 +4,12 @@
 #include "directory/Upstream.h"
 #include "directory/UpstreamDirectory.h"
 #include "health/UpstreamHealth.h"
+#include "reachability/DomainProbes.h"
+#include "reachability/DomainReachability.h"
 
 #include <functional>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -19,8 +22,8 @@
      */
     std::function<void(UpstreamIndex upstream)> startProbe;
 
-    /** Probes an upstream that counts as alive, to check this instance's own connectivity; a
-     * connection is reported to FailureDetector::onReferenceConnected. */
+    /** Probes an upstream to check this instance's own connectivity or that of a failure domain;
+     * the result goes to FailureDetector::onReferenceResult. */
     std::function<void(UpstreamIndex upstream)> startReferenceProbe;
 
     /** The liveness of an upstream has changed. */
@@ -29,6 +32,9 @@
 
     /** The upstream is confirmed down: nothing sent to it will be answered. */
     std::function<void(UpstreamIndex upstream)> onConfirmedDown;
+
+    /** A failure domain has become unreachable or reachable. */
+    std::function<void(const ReachabilityChange &change)> onReachabilityChange = {};
 };
 
 /** \brief Monitors upstreams with an answer due, and probes those that are suspect.
@@ -36,13 +42,16 @@
  * Detects upstreams that fail without notice. Only those with an answer due are checked, so the
  * cost does not grow with the number of upstreams. A congested link or a slow instance also delays
  * answers; therefore a probe that times out counts only if another upstream, the reference, was
- * reached in the meantime. Performs no I/O.
- * \sa UpstreamHealth
+ * reached in the meantime. An overloaded upstream refuses connections; therefore refused probes
+ * count only if no upstream of its failure domain answered in the meantime. Performs no I/O.
+ * \sa UpstreamHealth, DomainReachability
  */
 class FailureDetector
 {
 public:
-    FailureDetector(UpstreamDirectory &directory, FailureDetectorHooks hooks);
+    /** \param domain failure domain of this instance */
+    FailureDetector(UpstreamDirectory &directory, FailureDetectorHooks hooks,
+                    std::string domain = {});
 
     /** \brief Records that the upstream must answer a packet \a within this time. */
     void expectAnswer(UpstreamIndex upstream, TimePoint now, Duration within);
@@ -56,8 +65,9 @@
     void onProbeResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                        TimePoint now);
 
-    /** \brief Records that a probe of a reference, started at \a startedAt, connected. */
-    void onReferenceConnected(TimePoint startedAt, TimePoint now);
+    /** \brief Records the result of a probe of a reference, started at \a startedAt. */
+    void onReferenceResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
+                           TimePoint now);
 
     /** \brief Checks overdue answers and starts probes that are due.
      * \returns whether this process was paused, so that a missing answer is no evidence. */
@@ -66,11 +76,23 @@
     /** \returns when tick must be called next, or nothing while no answer is expected. */
     [[nodiscard]] std::optional<TimePoint> nextTick() const { return this->checkAt; }
 
+    [[nodiscard]] const DomainReachability &reachability() const { return this->domains; }
+
 private:
     void check(UpstreamIndex upstream, TimePoint now);
     void startProbe(UpstreamIndex upstream, TimePoint now);
     void probeReference(UpstreamIndex subject, TimePoint now);
-    [[nodiscard]] UpstreamIndex chooseReference(UpstreamIndex subject);
+    void probeNeighbours(UpstreamIndex subject, TimePoint since, TimePoint now);
+    void onConnected(UpstreamIndex upstream, TimePoint startedAt, TimePoint now);
+    [[nodiscard]] bool isReferenceReached(TimePoint startedAt) const;
+    void onProbeFailed(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
+                       TimePoint now);
+    void discardUnprovenRefusals(UpstreamIndex upstream);
+    void onReachabilityChange(const ReachabilityChange &change, TimePoint now);
+    void suspectPending(DomainIndex domain, TimePoint now);
+    void clearSuspicions(const ReachabilityChange &change, TimePoint now);
+    void checkUnreachableDomains(TimePoint now);
+    [[nodiscard]] bool needsNoProbe(const Upstream &upstream) const;
     void reportChange(UpstreamIndex upstream, Liveness before, std::string_view evidence,
                       TimePoint now);
     void cancelExpectedAnswers(TimePoint now);
@@ -79,13 +101,15 @@
 
     UpstreamDirectory &directory;
     FailureDetectorHooks hooks;
+    DomainReachability domains;
+    DomainProbes domainProbes;
     std::vector<UpstreamIndex> monitored; //!< Upstreams with an answer due or a probe scheduled.
     std::vector<UpstreamIndex> checked;   //!< Scratch buffer of tick.
     std::optional<TimePoint> checkAt;
-    UpstreamIndex nextReference = 0; //!< Where the next search for a reference starts.
-    TimePoint referenceProbedAt{};   //!< Start of the last reference probe.
-    TimePoint lastConnectedProbe{};  //!< Start of the latest probe that connected.
-    TimePoint lastAnswerAt{};        //!< Last answer of any upstream.
+    std::optional<TimePoint> domainCheckAt; //!< Next probes of the unreachable domains.
+    TimePoint referenceProbedAt{};          //!< Start of the last reference probe.
+    TimePoint lastConnectedProbe{};         //!< Start of the latest probe that connected.
+    TimePoint lastAnswerAt{};               //!< Last answer of any upstream.
 };
 
 } // namespace bulrushgap::balance
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -87,8 +87,11 @@
     case ProbeResult::Refused:
         this->timeouts = 0;
         this->state = Liveness::Refusing;
-        if (++this->refusals == 1)
-            this->nextProbe = now + internal::refusalInterval;
+        if (++this->refusals == 1) {
+            this->firstRefusalAt = now;
+            if (!this->refusalsDiscarded)
+                this->nextProbe = now + internal::refusalInterval;
+        }
         break;
     case ProbeResult::TimedOut:
         this->refusals = 0;
@@ -115,6 +118,21 @@
     return this->state != before || this->refusals == internal::confirmingRefusals;
 }
 
+void UpstreamHealth::discardRefusals()
+{
+    this->refusals = 0;
+    this->refusalsDiscarded = true;
+}
+
+bool UpstreamHealth::clearSuspicion(TimePoint now)
+{
+    if (this->state == Liveness::Alive)
+        return false;
+    this->clearedByProbeAt = TimePoint{};
+    this->setState(Liveness::Alive, now);
+    return true;
+}
+
 bool UpstreamHealth::countInconclusiveAsTimeouts(TimePoint now)
 {
     const Liveness before = this->state;
@@ -154,10 +172,13 @@
     this->timeouts = 0;
     this->inconclusive = 0;
     this->refusals = 0;
+    this->refusalsDiscarded = false;
     this->probeInterval = internal::minProbeInterval;
     this->nextProbe.reset();
-    if (next == Liveness::Suspect)
+    if (next == Liveness::Suspect) {
+        this->suspectSince = now;
         this->nextProbe = now;
+    }
 }
 
 } // namespace bulrushgap::balance
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -48,6 +48,13 @@
     /** \brief Applies the result of a probe. \returns whether the state changed. */
     bool onProbeResult(ProbeResult result, TimePoint now);
 
+    /** \brief Starts the series of refusals anew: the upstream's domain has answered since. */
+    void discardRefusals();
+
+    /** \brief Counts the upstream as alive again: its whole domain was out of reach. \returns
+     * whether the state changed. */
+    bool clearSuspicion(TimePoint now);
+
     /** \brief Cancels the expected answer: after a pause of this process, a late answer is no
      * evidence. */
     void cancelExpectedAnswer() { this->answerDue.reset(); }
@@ -67,6 +74,16 @@
     [[nodiscard]] bool isWaiting() const { return this->answerDue.has_value(); }
     [[nodiscard]] std::optional<TimePoint> answerDueAt() const { return this->answerDue; }
     [[nodiscard]] TimePoint lastAnswer() const { return this->answeredAt; }
+    [[nodiscard]] TimePoint suspectedAt() const { return this->suspectSince; }
+    [[nodiscard]] unsigned pendingProbeCount() const { return this->pendingProbes; }
+
+    [[nodiscard]] bool hasDiscardedRefusals() const { return this->refusalsDiscarded; }
+
+    /** \returns when the first probe of the current series of refusals ended, if there is one. */
+    [[nodiscard]] std::optional<TimePoint> refusedSince() const
+    {
+        return this->refusals > 0 ? std::optional(this->firstRefusalAt) : std::nullopt;
+    }
 
     /** \returns when to probe next, or nothing while the upstream counts as alive. */
     [[nodiscard]] std::optional<TimePoint> probeAt() const { return this->nextProbe; }
@@ -81,7 +98,10 @@
     std::optional<TimePoint> nextProbe;
     TimePoint answeredAt{};
     TimePoint clearedByProbeAt{}; //!< When a probe last cleared a suspicion without an answer.
+    TimePoint suspectSince{};
+    TimePoint firstRefusalAt{};
     Duration probeInterval{};
+    bool refusalsDiscarded = false; //!< The domain answered since the upstream became suspect.
     unsigned pendingProbes = 0;
     unsigned timeouts = 0;     //!< Consecutive probes that timed out.
     unsigned inconclusive = 0; //!< Consecutive inconclusive probes.
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -37,8 +37,10 @@
 
 } // namespace internal
 
-Placement::Placement(UpstreamDirectory &directory, std::string domain, Random &random)
+Placement::Placement(UpstreamDirectory &directory, const DomainReachability &reachability,
+                     std::string domain, Random &random)
     : directory(directory)
+    , reachability(reachability)
     , domain(std::move(domain))
     , random(random)
 {}
@@ -84,7 +86,8 @@
                          TimePoint now, PlacementChoice &choice)
 {
     Upstream &upstream = this->directory.at(index);
-    if (upstream.health.isConfirmedDown()) {
+    if (upstream.health.isConfirmedDown()
+        || this->reachability.isUnreachable(upstream.domainIndex)) {
         ++choice.unreachable;
         return;
     }
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -2,6 +2,7 @@
 
 #include "base/Time.h"
 #include "directory/UpstreamDirectory.h"
+#include "reachability/DomainReachability.h"
 #include "steering/FlowTracker.h"
 
 #include <cstddef>
@@ -25,7 +26,7 @@
     UpstreamIndex upstream = noUpstream;
     std::size_t candidates = 0;
     std::size_t withoutBudget = 0; //!< Cold upstreams without budget for a flow now.
-    std::size_t unreachable = 0;   //!< Upstreams that are confirmed down.
+    std::size_t unreachable = 0;   //!< Upstreams confirmed down or in unreachable domains.
     double score = 0.0;
 };
 
@@ -34,12 +35,13 @@
  * Balances load although a long flow is placed only once and an instance sees only the requests of
  * its own flows. Chooses the upstream with the fewest requests and flows per slot, prefers the own
  * failure domain, prefers any upstream that answers to one that does not, and excludes those that
- * are confirmed down.
+ * are confirmed down or in an unreachable domain.
  */
 class Placement
 {
 public:
-    Placement(UpstreamDirectory &directory, std::string domain, Random &random);
+    Placement(UpstreamDirectory &directory, const DomainReachability &reachability,
+              std::string domain, Random &random);
 
     [[nodiscard]] PlacementChoice choose(std::string_view service,
                                          const PlacementConstraints &constraints, TimePoint now);
@@ -57,6 +59,7 @@
                                        const PlacementConstraints &constraints) const;
 
     UpstreamDirectory &directory;
+    const DomainReachability &reachability;
     std::string domain;
     Random &random;
     unsigned instancesPerDomain = 1;
--- /dev/null
+++ b/src/reachability.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/** \file
+ * \brief Module reachability: which failure domains this instance can reach.
+ */
+#include "reachability/DomainProbes.h"
+#include "reachability/DomainReachability.h"
--- /dev/null
+++ b/src/reachability/DomainReachability.cpp
@@ -0,0 +1,168 @@
+#include "reachability/DomainReachability.h"
+
+#include <algorithm>
+#include <span>
+#include <utility>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+/** Failed probes count together only within this period: single lost packets, minutes apart, are no
+ * partition. */
+constexpr Duration failureWindow = std::chrono::seconds(1);
+
+/** Shortest time without an answer: an overloaded domain may refuse several probes within
+ * milliseconds and go on answering its flows. */
+constexpr Duration minSilence = std::chrono::milliseconds(100);
+
+/** A connected probe shows that this instance was connected for probes started this much later. */
+constexpr Duration connectionValidity = std::chrono::milliseconds(30);
+
+} // namespace internal
+
+DomainReachability::DomainReachability(ChangeHandler onChange)
+    : onChange(std::move(onChange))
+{}
+
+void DomainReachability::onAnswer(DomainIndex domain, TimePoint now)
+{
+    this->recordAnswer(domain, "answer_acknowledged", now);
+}
+
+void DomainReachability::onConnected(DomainIndex domain, TimePoint startedAt, TimePoint now)
+{
+    this->recordAnswer(domain, "probe_connected", now);
+    Domain &subject = this->entry(domain);
+    subject.connectedProbeAt = std::max(subject.connectedProbeAt, startedAt);
+    if (this->inQuestion == 0)
+        return;
+    for (DomainIndex other = 0; other < this->domains.size(); ++other)
+        this->evaluate(other, now);
+}
+
+void DomainReachability::onProbeFailed(DomainIndex domain, const FailedProbe &probe,
+                                       std::size_t registered, TimePoint now)
+{
+    Domain &subject = this->entry(domain);
+    if (subject.unreachable || probe.startedAt <= subject.answeredAt)
+        return;
+    if (probe.startedAt - subject.firstFailureAt > internal::failureWindow)
+        this->clearFailures(subject);
+    if (subject.failedProbes == 0) {
+        subject.firstFailureAt = probe.startedAt;
+        ++this->inQuestion;
+    }
+    subject.registered = registered;
+    subject.lastFailureAt = std::max(subject.lastFailureAt, probe.startedAt);
+    subject.failedProbes += probe.result == ProbeResult::Refused ? 2 : 1;
+    subject.referenceFailed = subject.referenceFailed || probe.isReference;
+    if (!this->hasFailed(domain, probe.upstream) && subject.failedUpstreams < requiredUpstreams)
+        subject.failed.at(subject.failedUpstreams++) = probe.upstream;
+    this->evaluate(domain, now);
+}
+
+void DomainReachability::onEmpty(DomainIndex domain, TimePoint now)
+{
+    Domain &subject = this->entry(domain);
+    if (subject.unreachable)
+        this->setUnreachable(domain, false, {domain, false, "no_upstream", 0, subject.answeredAt},
+                             now);
+}
+
+void DomainReachability::discardFailures()
+{
+    for (Domain &domain : this->domains)
+        this->clearFailures(domain);
+}
+
+bool DomainReachability::hasFailed(DomainIndex domain, UpstreamIndex upstream) const
+{
+    if (domain >= this->domains.size())
+        return false;
+    const Domain &subject = this->domains[domain];
+    const auto failed = std::span(subject.failed).first(subject.failedUpstreams);
+    return std::ranges::find(failed, upstream) != failed.end();
+}
+
+bool DomainReachability::hasFailedBeside(DomainIndex domain, UpstreamIndex upstream) const
+{
+    if (domain >= this->domains.size())
+        return false;
+    const Domain &subject = this->domains[domain];
+    // The upstreams that failed before the verdict are not kept after it.
+    const std::size_t own = this->hasFailed(domain, upstream) ? 1 : 0;
+    return subject.unreachable || subject.failedUpstreams > own;
+}
+
+DomainReachability::Domain &DomainReachability::entry(DomainIndex domain)
+{
+    if (domain >= this->domains.size())
+        this->domains.resize(domain + std::size_t{1});
+    return this->domains[domain];
+}
+
+void DomainReachability::recordAnswer(DomainIndex domain, std::string_view evidence, TimePoint now)
+{
+    Domain &subject = this->entry(domain);
+    const TimePoint before = std::exchange(subject.answeredAt, now);
+    this->clearFailures(subject);
+    if (subject.unreachable)
+        this->setUnreachable(domain, false, {domain, false, evidence, 0, before}, now);
+}
+
+void DomainReachability::clearFailures(Domain &domain)
+{
+    if (domain.failedProbes == 0)
+        return;
+    --this->inQuestion;
+    domain.failedProbes = 0;
+    domain.failedUpstreams = 0;
+    domain.lastFailureAt = TimePoint{};
+    domain.referenceFailed = false;
+}
+
+void DomainReachability::evaluate(DomainIndex domain, TimePoint now)
+{
+    Domain &subject = this->domains[domain];
+    const bool silent = now - subject.answeredAt >= internal::minSilence;
+    if (subject.unreachable || !silent || !this->isProven(subject)
+        || !this->isConnectedBeside(subject))
+        return;
+    const ReachabilityChange change{domain, true, "probes", subject.failedUpstreams,
+                                    subject.answeredAt};
+    this->clearFailures(subject);
+    this->setUnreachable(domain, true, change, now);
+}
+
+bool DomainReachability::isProven(const Domain &domain) const
+{
+    const std::size_t required = std::min(requiredUpstreams, domain.registered);
+    if (required == 0 || domain.failedUpstreams < required)
+        return false;
+    // On a lossy link one probe of each upstream may be lost; therefore one more must have failed.
+    if (domain.failedProbes <= required)
+        return false;
+    // Several upstreams may have failed at the same time although their domain is reachable;
+    // therefore the probe of an upstream that was not suspect must have failed as well.
+    return domain.referenceFailed || domain.failedUpstreams >= domain.registered;
+}
+
+bool DomainReachability::isConnectedBeside(const Domain &domain) const
+{
+    return std::ranges::any_of(this->domains, [&](const Domain &other) {
+        return &other != &domain && !other.unreachable
+               && other.connectedProbeAt + internal::connectionValidity >= domain.lastFailureAt;
+    });
+}
+
+void DomainReachability::setUnreachable(DomainIndex domain, bool isUnreachable,
+                                        const ReachabilityChange &change, TimePoint now)
+{
+    this->domains[domain].unreachable = isUnreachable;
+    this->unreachable = isUnreachable ? this->unreachable + 1 : this->unreachable - 1;
+    if (this->onChange)
+        this->onChange(change, now);
+}
+
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/reachability/DomainReachability.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "base/Time.h"
+#include "directory/Upstream.h"
+#include "health/UpstreamHealth.h"
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <string_view>
+#include <vector>
+
+namespace bulrushgap::balance {
+
+/** \brief A probe that did not connect. */
+struct FailedProbe
+{
+    UpstreamIndex upstream = noUpstream;
+    ProbeResult result = ProbeResult::TimedOut;
+    TimePoint startedAt{};
+    bool isReference = false; //!< Of an upstream that was not suspect itself.
+};
+
+/** \brief Change of a domain's reachability, for the log. */
+struct ReachabilityChange
+{
+    DomainIndex domain = 0;
+    bool unreachable = false;
+    std::string_view evidence;
+    std::size_t failedUpstreams = 0;
+    TimePoint lastAnswer{}; //!< Before the change.
+};
+
+/** \brief Decides whether each failure domain is reachable from this instance.
+ *
+ * A domain is unreachable when probes of several of its upstreams have failed since one of them
+ * last answered, while another domain accepted a connection. Performs no I/O, and keeps one entry
+ * for each domain.
+ */
+class DomainReachability
+{
+public:
+    using ChangeHandler = std::function<void(const ReachabilityChange &change, TimePoint now)>;
+
+    /** Different upstreams whose probes must have failed; all in a smaller domain. */
+    static constexpr std::size_t requiredUpstreams = 3;
+
+    explicit DomainReachability(ChangeHandler onChange);
+
+    /** \brief Records an answer that a caller has acknowledged. */
+    void onAnswer(DomainIndex domain, TimePoint now);
+
+    /** \brief Records a probe that connected. */
+    void onConnected(DomainIndex domain, TimePoint startedAt, TimePoint now);
+
+    /** \brief Records a probe that did not connect.
+     * \param registered the number of upstreams that the domain has */
+    void onProbeFailed(DomainIndex domain, const FailedProbe &probe, std::size_t registered,
+                       TimePoint now);
+
+    /** \brief Makes a domain reachable that has no upstreams left to probe. */
+    void onEmpty(DomainIndex domain, TimePoint now);
+
+    /** \brief Discards failed probes: this process was paused. */
+    void discardFailures();
+
+    [[nodiscard]] bool isUnreachable(DomainIndex domain) const
+    {
+        return domain < this->domains.size() && this->domains[domain].unreachable;
+    }
+
+    /** \returns whether a probe of an upstream other than \a upstream has failed since the last
+     * answer of the domain. */
+    [[nodiscard]] bool hasFailedBeside(DomainIndex domain, UpstreamIndex upstream) const;
+
+    /** \returns whether a probe of the upstream has failed since the last answer of its domain. */
+    [[nodiscard]] bool hasFailed(DomainIndex domain, UpstreamIndex upstream) const;
+
+    [[nodiscard]] TimePoint lastAnswer(DomainIndex domain) const
+    {
+        return domain < this->domains.size() ? this->domains[domain].answeredAt : TimePoint{};
+    }
+
+    /** \returns the number of domains of which anything was recorded; indexes are below it. */
+    [[nodiscard]] std::size_t domainCount() const { return this->domains.size(); }
+
+    [[nodiscard]] std::size_t unreachableCount() const { return this->unreachable; }
+
+private:
+    struct Domain
+    {
+        TimePoint answeredAt{};       //!< Last acknowledged answer or connected probe.
+        TimePoint connectedProbeAt{}; //!< Start of the latest probe that connected.
+        TimePoint firstFailureAt{};   //!< Start of the first failed probe that counts.
+        TimePoint lastFailureAt{};    //!< Start of the last one.
+        std::array<UpstreamIndex, requiredUpstreams> failed{};
+        std::size_t failedUpstreams = 0;
+        std::size_t failedProbes = 0; //!< A refused probe counts twice.
+        std::size_t registered = 0;
+        bool referenceFailed = false;
+        bool unreachable = false;
+    };
+
+    [[nodiscard]] Domain &entry(DomainIndex domain);
+    void recordAnswer(DomainIndex domain, std::string_view evidence, TimePoint now);
+    void clearFailures(Domain &domain);
+    void evaluate(DomainIndex domain, TimePoint now);
+    [[nodiscard]] bool isProven(const Domain &domain) const;
+    [[nodiscard]] bool isConnectedBeside(const Domain &domain) const;
+    void setUnreachable(DomainIndex domain, bool unreachable, const ReachabilityChange &change,
+                        TimePoint now);
+
+    ChangeHandler onChange;
+    std::vector<Domain> domains;
+    std::size_t inQuestion = 0;  //!< Domains with failed probes.
+    std::size_t unreachable = 0; //!< Unreachable domains.
+};
+
+} // namespace bulrushgap::balance
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -108,6 +108,9 @@
                              {"packets", this->settings.packetAddress.toString()},
                              {"store", this->settings.store.toString()},
                              {"version", BULRUSHGAP_VERSION}});
+    this->metrics.addGauge("unreachable_domains", [this] {
+        return static_cast<double>(this->balancer.unreachableDomains());
+    });
     this->operationsServer.route("GET", "/-/ready",
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -53,13 +53,14 @@
     , routes(routes)
     , random(random)
     , hooks(std::move(hooks))
-    , detector(directory, {this->hooks.startProbe, this->hooks.startReferenceProbe,
-                           this->hooks.onLivenessChange,
-                           [this](UpstreamIndex upstream) {
-                               this->resetPendingFlows(upstream);
-                           }})
+    , detector(directory,
+               {this->hooks.startProbe, this->hooks.startReferenceProbe,
+                this->hooks.onLivenessChange,
+                [this](UpstreamIndex upstream) { this->resetPendingFlows(upstream); },
+                this->hooks.onReachabilityChange},
+               settings.domain)
     , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
-    , placement(directory, std::move(settings.domain), random)
+    , placement(directory, this->detector.reachability(), std::move(settings.domain), random)
     , coldStart(directory, routes, this->hooks.isBudgetSharer)
 {}
 
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -31,8 +31,8 @@
      */
     std::function<void(UpstreamIndex upstream)> startProbe;
 
-    /** Probes an upstream that counts as alive, to check this instance's own connectivity; a
-     * connection is reported to PacketSteering::onReferenceConnected. */
+    /** Probes an upstream to check this instance's own connectivity or that of a failure domain;
+     * the result goes to PacketSteering::onReferenceResult. */
     std::function<void(UpstreamIndex upstream)> startReferenceProbe;
 
     /** The liveness of an upstream has changed. */
@@ -50,6 +50,9 @@
     /** Resets a flow with a pending request to an unreachable upstream. */
     std::function<void(const FlowPacket &flow, UpstreamIndex upstream)> resetFlow;
 
+    /** A failure domain has become unreachable or reachable; may be empty. */
+    std::function<void(const ReachabilityChange &change)> onReachabilityChange;
+
     FlowObserverHooks latency; //!< May be empty.
 };
 
@@ -82,9 +85,15 @@
     {
         this->detector.onProbeResult(upstream, result, startedAt, now);
     }
-    void onReferenceConnected(TimePoint startedAt, TimePoint now)
+    void onReferenceResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
+                           TimePoint now)
+    {
+        this->detector.onReferenceResult(upstream, result, startedAt, now);
+    }
+
+    [[nodiscard]] const DomainReachability &reachability() const
     {
-        this->detector.onReferenceConnected(startedAt, now);
+        return this->detector.reachability();
     }
 
     /** \brief Records that the entries were read from the registry by a call started at \a since.
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -114,6 +115,7 @@
     unsigned verifications = 0;
     unsigned referenceProbes = 0;
     bool referenceReached = true;
+    std::set<std::string> refusingDomains; //!< Reference probes to their upstreams are refused.
     std::uint64_t revision = 0;
     int now = 0;
     PacketSteering steering;
@@ -125,10 +127,14 @@
         result.startProbe = [this](UpstreamIndex upstream) {
             this->probes.emplace_back(upstream, this->now);
         };
-        result.startReferenceProbe = [this](UpstreamIndex) {
+        result.startReferenceProbe = [this](UpstreamIndex upstream) {
             ++this->referenceProbes;
+            const bool refused
+                = this->refusingDomains.contains(this->directory.at(upstream).entry.domain);
             if (this->referenceReached)
-                this->steering.onReferenceConnected(at(this->now), at(this->now));
+                this->steering.onReferenceResult(
+                    upstream, refused ? ProbeResult::Refused : ProbeResult::Connected,
+                    at(this->now), at(this->now));
         };
         result.isBudgetSharer = [](std::string_view, unsigned) {
             return true;
@@ -299,6 +305,43 @@
     CHECK(fixture.resets.size() == test.resets);
 }
 
+// Guards against resets of open flows whose upstream limits its connections, as it does while it is
+// overloaded or has just started, and against a refusing partition that is proven later than
+// before.
+TEST_CASE("refused probes prove nothing while the domain answers", "[PacketSteering]")
+{
+    struct Case
+    {
+        const char *what;
+        std::vector<std::string> neighbours; //!< Domains of the other upstreams.
+        std::set<std::string> refusing;      //!< Domains whose other upstreams refuse as well.
+        std::string domain;
+        std::size_t resets;
+    };
+    const auto test = GENERATE(values<Case>({
+        {"overloaded, a neighbour is reached", {"b", "b", "a"}, {}, "b", 0},
+        {"overloaded, in the own domain", {"a", "b"}, {}, "a", 0},
+        {"all upstreams of the domain refuse", {"b", "b", "a"}, {"b"}, "b", 1},
+        {"all upstreams of the own domain refuse", {"a", "b"}, {"a"}, "a", 1},
+        {"no other upstream in the domain", {"a", "a"}, {}, "b", 1},
+    }));
+    INFO(test.what);
+    SteeringFixture fixture;
+    fixture.addUpstream("subject", test.domain);
+    for (std::size_t i = 0; i < test.neighbours.size(); ++i)
+        fixture.addUpstream("neighbour-" + std::to_string(i), test.neighbours[i]);
+    fixture.refusingDomains = test.refusing;
+    const std::uint32_t tag = fixture.tagOf(0);
+    static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
+    fixture.runUntil(1'000, {});
+    static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 1'000));
+    // The answer is overdue after 120 ms, and the refused probes take 100 ms.
+    fixture.runUntil(1'240, {{0, ProbeResult::Refused}});
+    CHECK(fixture.resets.size() == test.resets);
+    fixture.runUntil(5'000, {{0, ProbeResult::Refused}});
+    CHECK(fixture.resets.size() == test.resets);
+}
+
 // Guards against resets of flows to a working upstream: probes time out because the instance's own
 // link is congested, and all other answers are as late. Seen in a sweep of cv-bogota-grown with 300
 // machines.
