--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -89,8 +89,11 @@
     case ProbeResult::Refused:
         this->timeouts = 0;
         this->state = Liveness::Refusing;
-        if (++this->refusals == 1)
-            this->nextProbe = now + internal::refusalInterval;
+        if (++this->refusals == 1) {
+            this->firstRefusalAt = now;
+            if (!this->refusalsDiscarded)
+                this->nextProbe = now + internal::refusalInterval;
+        }
         if (this->refusals == internal::confirmingRefusals)
             this->recordOutage(Outage::Kind::Refused, now);
         break;
@@ -121,6 +124,21 @@
     return this->state != before || this->refusals == internal::confirmingRefusals;
 }
 
+void UpstreamHealth::discardRefusals()
+{
+    this->refusals = 0;
+    this->refusalsDiscarded = true;
+}
+
+bool UpstreamHealth::clearSuspicion(TimePoint now)
+{
+    if (this->state == Liveness::Alive)
+        return false;
+    this->clearedByProbeAt = TimePoint{};
+    this->setState(Liveness::Alive, now);
+    return true;
+}
+
 bool UpstreamHealth::countInconclusiveAsTimeouts(TimePoint now)
 {
     const Liveness before = this->state;
@@ -150,7 +168,7 @@
     // A host that lost power refuses connections once it runs again without the process.
     if (this->outage && this->outage->kind == Outage::Kind::Refused)
         kind = Outage::Kind::Refused;
-    this->outage = Outage{kind, this->suspectedAt, now};
+    this->outage = Outage{kind, this->suspectSince, now};
 }
 
 std::optional<Outage> UpstreamHealth::takeEndedOutage()
@@ -176,11 +194,12 @@
     this->inconclusive = 0;
     this->refusals = 0;
     this->provenTimeouts = 0;
+    this->refusalsDiscarded = false;
     this->probeInterval = internal::minProbeInterval;
     this->nextProbe.reset();
     if (next == Liveness::Suspect) {
+        this->suspectSince = now;
         this->nextProbe = now;
-        this->suspectedAt = now;
     }
 }
 
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -115,6 +115,9 @@
     this->metrics.addGauge("ejected_upstreams", [this] {
         return static_cast<double>(this->balancer.ejectedUpstreams());
     });
+    this->metrics.addGauge("unreachable_domains", [this] {
+        return static_cast<double>(this->balancer.unreachableDomains());
+    });
     this->operationsServer.route("GET", "/-/ready",
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
