Share failures between the instances of a failure domain

Cause: an instance sees one upstream about once per second, so it needs seconds to recognise an upstream that fails part of its requests.

What arrives from one neighbour is told to all others. EjectionPolicy judges the sum against the requests expected in the domain. One instance places the trials of an upstream and tells its return; a restarted instance adopts the ejections of its neighbours. Only the outcomes after a trial of this instance count for a return.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -3,6 +3,8 @@
 #include "steering/FlowNames.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -21,6 +23,15 @@
 
 constexpr Duration statusInterval = std::chrono::seconds(5);
 
+/** A starting instance adopts the ejections of other instances for this long. */
+constexpr Duration adoptionTime = std::chrono::seconds(5);
+
+std::uint16_t toWire(std::int64_t number)
+{
+    return static_cast<std::uint16_t>(
+        std::min<std::int64_t>(number, std::numeric_limits<std::uint16_t>::max()));
+}
+
 std::string_view livenessCounter(Liveness liveness)
 {
     switch (liveness) {
@@ -65,6 +76,7 @@
     , steering({this->options.self.domain, this->options.flowCapacity}, this->directory,
                this->routes, random, this->steeringHooks())
     , sources(this->options.self, this->options.seeds, this->options.firstStart)
+    , sharing(scheduler, random, this->sharingHooks())
     , sourcedStore(scheduler, store, this->sources, counters, log, this->sourceHooks())
     , mirror(scheduler, this->mirrorHooks())
     , sweeper(scheduler, memberStore, this->options.self.name, counters, log, this->sweeperHooks())
@@ -118,8 +130,29 @@
 EjectionHooks Balancer::ejectionHooks()
 {
     return {[this](const EjectionChange &change) { this->onEjectionChange(change); },
-            [](std::string_view /*upstream*/) {
-                return true;
+            [this](std::string_view upstream) {
+                return !this->sharing.hasNeighbours() || this->sources.isSelectedInDomain(upstream);
+            },
+            [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
+                this->sharing.tell({this->directory.at(upstream).flowTag,
+                                    internal::toWire(counts.failures),
+                                    internal::toWire(counts.requests), 0, false});
+            }};
+}
+
+OutcomeSharingHooks Balancer::sharingHooks()
+{
+    return {[this]() -> std::optional<ViewSource> {
+                const ViewSource &source = this->sources.current();
+                // A direct source is in another domain.
+                if (source.isStore() || source.direct)
+                    return std::nullopt;
+                return source;
+            },
+            this->hooks.connectOutcomes,
+            [this](const OutcomeReport &report) { this->onReport(report); },
+            [this] {
+                return this->ejections();
             }};
 }
 
@@ -295,6 +328,9 @@
 void Balancer::becomeReady()
 {
     this->sources.onViewComplete();
+    this->readyAt = this->scheduler.now();
+    if (this->options.ejection && this->hooks.connectOutcomes)
+        this->sharing.start();
     const bool late = this->scheduler.now() - this->startedAt > internal::maxPacketWait;
     this->hooks.onReady(late);
     this->log.info("ready", {{"upstreams", this->directory.registeredCount()},
@@ -338,6 +374,38 @@
                     {"requests", change.requests},
                     {"service_share", change.serviceShare},
                     {"delay_ms", toMilliseconds(change.delay)}});
+    const bool byOwnTrials = change.kind == EjectionChange::Kind::Reinstated
+                             && change.evidence == EjectionEvidence::Trial;
+    if (byOwnTrials)
+        this->sharing.tell({this->directory.at(change.upstream).flowTag, 0, 0, 0, true});
+}
+
+void Balancer::onReport(const OutcomeReport &report)
+{
+    this->counters.add("outcome_report");
+    const UpstreamIndex upstream = this->directory.findByTag(report.flowTag);
+    if (upstream == noUpstream)
+        return;
+    const TimePoint now = this->scheduler.now();
+    if (report.reinstated)
+        this->ejection.onReportedReturn(upstream, now);
+    if (report.failures > 0)
+        this->ejection.addReported(upstream, {report.failures, report.requests}, now);
+    // Later, this instance judges by itself: another one may have missed a return.
+    if (report.ejectedMs > 0 && now - this->readyAt < internal::adoptionTime)
+        this->ejection.adopt(upstream, std::chrono::milliseconds(report.ejectedMs), now);
+}
+
+OutcomeReports Balancer::ejections() const
+{
+    OutcomeReports reports;
+    this->ejection.visitEjected(
+        [&](UpstreamIndex upstream, Duration delay) {
+            reports.push_back({this->directory.at(upstream).flowTag, 0, 0,
+                               internal::toWire(toMilliseconds(delay)), false});
+        },
+        this->scheduler.now());
+    return reports;
 }
 
 void Balancer::logDirectoryChange(const DirectoryChange &change)
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -6,6 +6,7 @@
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
 #include "ejection/EjectionPolicy.h"
+#include "ejection/OutcomeSharing.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
 #include "view/MemberRegistration.h"
@@ -42,6 +43,9 @@
     /** \returns a client for the objects of another instance. */
     std::function<std::unique_ptr<ObjectSource>(const ViewSource &source)> connectPeer;
 
+    /** \returns a connection to exchange outcomes with another instance. May be empty. */
+    std::function<std::unique_ptr<OutcomeSource>(const ViewSource &source)> connectOutcomes;
+
     /** The view is complete. \param late whether packets held until now are too old to forward. */
     std::function<void(bool late)> onReady;
 
@@ -94,6 +98,7 @@
         return this->directory.candidates(service).size();
     }
     [[nodiscard]] ObjectMirror &objectMirror() { return this->mirror; }
+    [[nodiscard]] OutcomeSharing &outcomeSharing() { return this->sharing; }
     [[nodiscard]] const RouteTable &routeTable() const { return this->routes; }
 
     /** \returns the number of upstreams that new flows avoid because their requests fail. */
@@ -109,6 +114,7 @@
     [[nodiscard]] SteeringHooks steeringHooks();
     [[nodiscard]] FlowObserverHooks observerHooks();
     [[nodiscard]] EjectionHooks ejectionHooks();
+    [[nodiscard]] OutcomeSharingHooks sharingHooks();
     [[nodiscard]] SourcedStoreHooks sourceHooks();
     [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
@@ -123,6 +129,8 @@
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
     void onOutcome(const RequestObservation &observation);
     void onEjectionChange(const EjectionChange &change);
+    void onReport(const OutcomeReport &report);
+    [[nodiscard]] OutcomeReports ejections() const;
     void logDirectoryChange(const DirectoryChange &change);
     [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
@@ -138,6 +146,7 @@
     EjectionPolicy ejection;
     PacketSteering steering;
     ViewSources sources;
+    OutcomeSharing sharing;
     SourcedStore sourcedStore;
     ObjectMirror mirror;
     MemberSweeper sweeper;
@@ -149,6 +158,7 @@
     Scheduler::Timer statusTimer;
     std::optional<TimePoint> tickScheduledFor;
     TimePoint startedAt{};
+    TimePoint readyAt{};
     bool ready = false;
     bool stopping = false;
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> decisions{};
--- a/src/ejection/EjectionPolicy.cpp
+++ b/src/ejection/EjectionPolicy.cpp
@@ -63,6 +63,12 @@
                                    : static_cast<double>(this->own.failures) / this->own.requests;
 }
 
+bool EjectionPolicy::ServiceView::failsAsWhole() const
+{
+    return this->own.requests >= internal::minServiceWideRequests
+           && this->share() >= internal::serviceWideShare;
+}
+
 EjectionPolicy::EjectionPolicy(UpstreamDirectory &directory, Counters &counters,
                                EjectionHooks hooks)
     : directory(directory)
@@ -74,7 +80,11 @@
 {
     const UpstreamIndex upstream = observation.upstream;
     const bool failed = observation.outcome != RequestOutcome::Answered;
-    this->stateOf(upstream).own.add({failed ? 1U : 0U, 1}, now);
+    State &state = this->stateOf(upstream);
+    state.own.add({failed ? 1U : 0U, 1}, now);
+    ++state.untold;
+    if (failed)
+        this->tellFailure(upstream, now);
     if (this->directory.at(upstream).ejection.ejected)
         this->observeEjected(upstream, failed, now);
     else if (failed)
@@ -92,6 +102,49 @@
         this->evaluate(upstream, now);
 }
 
+void EjectionPolicy::tellFailure(UpstreamIndex upstream, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    const std::uint32_t recent = state.own.total(now).requests;
+    const std::uint32_t requests = std::min(std::exchange(state.untold, 0), recent);
+    // An instance that sees most upstreams fail may be at fault itself.
+    if (this->serviceOf(upstream, now).failsAsWhole())
+        return;
+    this->hooks.onFailure(upstream, {1, requests});
+}
+
+void EjectionPolicy::adopt(UpstreamIndex upstream, Duration delay, TimePoint now)
+{
+    Upstream &subject = this->directory.at(upstream);
+    if (subject.ejection.ejected)
+        return;
+    const ServiceView view = this->serviceOf(upstream, now);
+    if (view.ejected >= view.limit) {
+        this->counters.add("ejection_limit");
+        return;
+    }
+    EjectionChange change;
+    change.evidence = EjectionEvidence::Told;
+    this->startDelay(upstream, delay, change, now);
+}
+
+void EjectionPolicy::onReportedReturn(UpstreamIndex upstream, TimePoint now)
+{
+    if (this->directory.at(upstream).ejection.ejected)
+        this->reinstate(upstream, EjectionEvidence::Told, now);
+}
+
+void EjectionPolicy::visitEjected(
+    const std::function<void(UpstreamIndex upstream, Duration delay)> &visit, TimePoint now) const
+{
+    for (std::size_t i = 0; i < this->states.size(); ++i) {
+        const auto index = static_cast<UpstreamIndex>(i);
+        if (this->directory.at(index).ejection.ejected)
+            visit(index,
+                  std::max<Duration>(std::chrono::milliseconds(1), this->states[i].delayEnd - now));
+    }
+}
+
 void EjectionPolicy::observeEjected(UpstreamIndex upstream, bool failed, TimePoint now)
 {
     State &state = this->stateOf(upstream);
@@ -105,6 +158,9 @@
         change.requests = state.answers + 1;
         return this->eject(upstream, change, now);
     }
+    // Flows that are open on other instances must not bring the upstream back by chance.
+    if (!state.onTrial)
+        return;
     if (++state.answers >= internal::answersToReturn)
         return this->reinstate(upstream, EjectionEvidence::Trial, now);
     EjectionMark &mark = this->directory.at(upstream).ejection;
@@ -114,6 +170,7 @@
 void EjectionPolicy::onTrialPlaced(UpstreamIndex upstream)
 {
     this->counters.add("ejection_trial");
+    this->stateOf(upstream).onTrial = true;
     EjectionChange change;
     change.kind = EjectionChange::Kind::OnTrial;
     change.upstream = upstream;
@@ -134,8 +191,7 @@
     const std::string &service = this->directory.at(upstream).entry.service;
     this->reinstateExpired(service, now);
     const ServiceView view = this->serviceOf(upstream, now);
-    if (view.own.requests >= internal::minServiceWideRequests
-        && view.share() >= internal::serviceWideShare)
+    if (view.failsAsWhole())
         return this->reinstateService(service, now);
 
     // Other instances report only upstreams with failures, so the requests of those that saw none
@@ -191,8 +247,15 @@
     const bool again
         = state.delayEnd != TimePoint{} && now - state.delayEnd < internal::levelRetention;
     state.level = again ? std::min(internal::maxLevel, state.level + 1) : 0;
-    const Duration delay = internal::firstDelay * (1 << state.level);
+    this->startDelay(upstream, internal::firstDelay * (1 << state.level), change, now);
+}
+
+void EjectionPolicy::startDelay(UpstreamIndex upstream, Duration delay, EjectionChange change,
+                                TimePoint now)
+{
+    State &state = this->stateOf(upstream);
     state.delayEnd = now + delay;
+    state.onTrial = false;
     state.answers = 0;
     Upstream &subject = this->directory.at(upstream);
     const bool placesTrials = this->hooks.placesTrials(subject.entry.name);
--- a/src/ejection/EjectionPolicy.h
+++ b/src/ejection/EjectionPolicy.h
@@ -7,6 +7,7 @@
 #include "outcome/RequestOutcome.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,10 @@
 
     /** \returns whether this instance places the trials of an upstream; others wait for longer. */
     std::function<bool(std::string_view upstream)> placesTrials;
+
+    /** This instance observed a failure; the counts are those of the upstream since the last one.
+     */
+    std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> onFailure;
 };
 
 /** \brief Ejects upstreams whose requests fail although their connections work.
@@ -40,6 +45,17 @@
     /** \brief Adds outcomes that other instances of the domain observed. */
     void addReported(UpstreamIndex upstream, const OutcomeCounts &counts, TimePoint now);
 
+    /** \brief Ejects an upstream for the rest of a delay that another instance has started. */
+    void adopt(UpstreamIndex upstream, Duration delay, TimePoint now);
+
+    /** \brief Ends an ejection because trials of another instance succeeded. */
+    void onReportedReturn(UpstreamIndex upstream, TimePoint now);
+
+    /** \brief Calls \a visit with each ejected upstream and the rest of its delay, 1 ms at least.
+     */
+    void visitEjected(const std::function<void(UpstreamIndex upstream, Duration delay)> &visit,
+                      TimePoint now) const;
+
     /** \brief Records that placement has placed a flow on trial. */
     void onTrialPlaced(UpstreamIndex upstream);
 
@@ -57,9 +73,11 @@
     {
         OutcomeWindow own;
         OutcomeWindow reported;
-        TimePoint delayEnd{}; //!< End of the delay of the last ejection.
-        unsigned level = 0;   //!< Ejections that followed shortly on another one.
-        unsigned answers = 0; //!< Answers in a row after the delay.
+        TimePoint delayEnd{};     //!< End of the delay of the last ejection.
+        unsigned level = 0;       //!< Ejections that followed shortly on another one.
+        std::uint32_t untold = 0; //!< Requests since the last call of EjectionHooks::onFailure.
+        bool onTrial = false;     //!< This instance has placed a flow on trial.
+        unsigned answers = 0;     //!< Answers in a row after the delay.
     };
 
     /** \brief The other upstreams of the service of one upstream, without ejected ones. */
@@ -73,13 +91,16 @@
         /** \returns the failed share, rounded up while few requests are known. */
         [[nodiscard]] double cautiousShare() const;
         [[nodiscard]] double share() const;
+        [[nodiscard]] bool failsAsWhole() const;
     };
 
     [[nodiscard]] State &stateOf(UpstreamIndex upstream);
     [[nodiscard]] ServiceView serviceOf(UpstreamIndex upstream, TimePoint now);
+    void tellFailure(UpstreamIndex upstream, TimePoint now);
     void observeEjected(UpstreamIndex upstream, bool failed, TimePoint now);
     void evaluate(UpstreamIndex upstream, TimePoint now);
     void eject(UpstreamIndex upstream, EjectionChange change, TimePoint now);
+    void startDelay(UpstreamIndex upstream, Duration delay, EjectionChange change, TimePoint now);
     void reinstate(UpstreamIndex upstream, EjectionEvidence evidence, TimePoint now);
     void reinstateExpired(std::string_view service, TimePoint now);
     void reinstateService(std::string_view service, TimePoint now);
--- /dev/null
+++ b/src/ejection/UntoldReports.cpp
@@ -0,0 +1,55 @@
+#include "ejection/UntoldReports.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace bulrushgap::balance {
+
+namespace internal {
+
+std::uint16_t sumOf(std::uint16_t first, std::uint16_t second)
+{
+    constexpr unsigned maximum = std::numeric_limits<std::uint16_t>::max();
+    return static_cast<std::uint16_t>(std::min(maximum, unsigned{first} + second));
+}
+
+} // namespace internal
+
+void UntoldReports::add(const OutcomeReport &report, TimePoint now)
+{
+    this->removeOld(now);
+    const auto found = std::ranges::find_if(
+        this->entries, [&](const Entry &entry) { return entry.report.flowTag == report.flowTag; });
+    if (found == this->entries.end()) {
+        if (this->entries.size() < maxOutcomeReports)
+            this->entries.push_back({report, now});
+        return;
+    }
+    OutcomeReport &known = found->report;
+    if (report.reinstated) {
+        // Failures from before the return must not eject the upstream again.
+        known = report;
+        return;
+    }
+    known.failures = internal::sumOf(known.failures, report.failures);
+    known.requests = internal::sumOf(known.requests, report.requests);
+    known.ejectedMs = std::max(known.ejectedMs, report.ejectedMs);
+}
+
+OutcomeReports UntoldReports::take(TimePoint now)
+{
+    this->removeOld(now);
+    OutcomeReports reports;
+    for (const Entry &entry : this->entries)
+        reports.push_back(entry.report);
+    this->entries.clear();
+    return reports;
+}
+
+void UntoldReports::removeOld(TimePoint now)
+{
+    std::erase_if(this->entries,
+                  [&](const Entry &entry) { return now - entry.since > maxOutcomeReportAge; });
+}
+
+} // namespace bulrushgap::balance
--- /dev/null
+++ b/src/ejection/UntoldReports.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "base/Time.h"
+#include "ejection/OutcomeReport.h"
+
+#include <span>
+#include <vector>
+
+namespace bulrushgap::balance {
+
+/** \brief Reports that one other instance has not received yet, one for each upstream. */
+class UntoldReports
+{
+public:
+    /** \brief Adds the counts of a report; drops it if there are too many upstreams. */
+    void add(const OutcomeReport &report, TimePoint now);
+
+    /** \returns the reports that are not too old, and removes all. */
+    [[nodiscard]] OutcomeReports take(TimePoint now);
+
+    [[nodiscard]] bool empty() const { return this->entries.empty(); }
+    void clear() { this->entries.clear(); }
+
+private:
+    struct Entry
+    {
+        OutcomeReport report;
+        TimePoint since; //!< When the first of its counts was added.
+    };
+
+    void removeOld(TimePoint now);
+
+    std::vector<Entry> entries;
+};
+
+} // namespace bulrushgap::balance
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -60,7 +60,8 @@
     , prober(context, internal::probeTimeout)
     , balancer(internal::makeOptions(this->settings), this->scheduler, this->store, this->store,
                this->random, this->counters, this->log, this->hooks())
-    , viewServer(context, this->settings.peerAddress, this->balancer.objectMirror(), this->counters)
+    , viewServer(context, this->settings.peerAddress, this->balancer.objectMirror(), this->counters,
+                 {}, this->settings.ejection ? &this->balancer.outcomeSharing() : nullptr)
     , packetPort(
           context, this->settings.packetAddress, platform::upstreamIdBytes,
           platform::maxDatagramBytes,
@@ -87,6 +88,10 @@
         return std::make_unique<PeerViewClient>(this->context, source.peer.value(), this->counters,
                                                 PeerReadOptions::of(source));
     };
+    result.connectOutcomes = [this](const balance::ViewSource &source) {
+        return std::make_unique<PeerViewClient>(this->context, source.peer.value(), this->counters,
+                                                PeerReadOptions::of(source));
+    };
     result.onReady = [this](bool discardReceived) {
         this->packetPort.startReading(discardReceived);
     };
--- a/src/role/PeerViewClient.cpp
+++ b/src/role/PeerViewClient.cpp
@@ -1,5 +1,6 @@
 #include "role/PeerViewClient.h"
 
+#include "ejection/OutcomeCodec.h"
 #include "role/ViewFrame.h"
 #include "service/FrameReader.h"
 #include "view/ViewCodec.h"
@@ -272,4 +273,21 @@
                              {}});
 }
 
+void PeerViewClient::exchange(const balance::OutcomeRequest &request,
+                              balance::OutcomeSource::Handler handler)
+{
+    this->counters.add("peer_outcome");
+    this->connection().send(balance::encodeOutcomeRequest(request),
+                            request.wait + this->timeouts.idleTimeout,
+                            {[handler = std::move(handler)](const auto &reply) {
+                                 std::optional<balance::OutcomeReports> reports;
+                                 if (reply)
+                                     reports = balance::decodeOutcomeReply(reply->message);
+                                 handler(reports);
+                             },
+                             false,
+                             {},
+                             {}});
+}
+
 } // namespace bulrushgap
--- a/src/role/PeerViewClient.h
+++ b/src/role/PeerViewClient.h
@@ -2,6 +2,7 @@
 
 #include "base/Counters.h"
 #include "base/Endpoint.h"
+#include "ejection/OutcomeReport.h"
 #include "view/ObjectSource.h"
 #include "view/ViewSource.h"
 
@@ -36,9 +37,9 @@
 /** \brief Reads another instance's view over one TCP connection with FlatBuffers messages.
  *
  * If the connection fails or a call times out, all pending calls fail, and the next call opens a
- * new connection. Calls are counted as "peer_list" and "peer_watch".
+ * new connection. Calls are counted as "peer_list", "peer_watch" and "peer_outcome".
  */
-class PeerViewClient : public balance::ObjectSource
+class PeerViewClient : public balance::ObjectSource, public balance::OutcomeSource
 {
 public:
     PeerViewClient(boost::asio::io_context &context, Endpoint peer, Counters &counters,
@@ -49,6 +50,8 @@
     void watchFor(balance::ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
                   WatchHandler handler) override;
     void dropWatches() override;
+    void exchange(const balance::OutcomeRequest &request,
+                  balance::OutcomeSource::Handler handler) override;
 
 private:
     internal::PeerViewConnection &connection();
--- a/src/role/PeerViewServer.cpp
+++ b/src/role/PeerViewServer.cpp
@@ -1,5 +1,6 @@
 #include "role/PeerViewServer.h"
 
+#include "ejection/OutcomeCodec.h"
 #include "role/ViewFrame.h"
 #include "service/FrameReader.h"
 
@@ -9,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <array>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -18,7 +20,7 @@
 
 using boost::asio::ip::tcp;
 
-/** Requests are short: they hold a kind, a revision and a wait. */
+/** A request holds a kind, a revision and a wait, or at most 64 reports of 12 bytes. */
 constexpr std::size_t maxViewRequestBytes = 1'024;
 
 /** \brief Last encoded answer of a kind; cached because many instances request the same one. */
@@ -61,12 +63,14 @@
 struct PeerViewServerState : std::enable_shared_from_this<PeerViewServerState>
 {
     PeerViewServerState(boost::asio::io_context &context, Endpoint endpoint,
-                        balance::ObjectMirror &mirror, Counters &counters, PeerViewLimits limits)
+                        balance::ObjectMirror &mirror, Counters &counters, PeerViewLimits limits,
+                        balance::OutcomeSharing *outcomes)
         : context(context)
         , endpoint(endpoint)
         , mirror(mirror)
         , counters(counters)
         , limits(limits)
+        , outcomes(outcomes)
         , acceptor(context)
     {}
 
@@ -87,6 +91,7 @@
     balance::ObjectMirror &mirror;
     Counters &counters;
     PeerViewLimits limits;
+    balance::OutcomeSharing *outcomes;
     tcp::acceptor acceptor;
     AnswerCache cache;
     std::set<std::shared_ptr<PeerViewSession>> sessions;
@@ -112,6 +117,8 @@
     void close()
     {
         this->closed = true;
+        if (this->outcomeReader)
+            this->server.outcomes->removeReader(*this->outcomeReader);
         this->idleTimer.cancel();
         boost::system::error_code ignored;
         this->socket.close(ignored);
@@ -164,7 +171,7 @@
         const auto frame = ViewFrame::parse(bytes);
         const auto request = frame ? balance::decodeRequest(frame->message) : std::nullopt;
         if (!request)
-            return this->refuse();
+            return frame ? this->onOutcomes(*frame) : this->refuse();
         const auto respond = [weak = this->weak_from_this(), requestId = frame->requestId,
                               kind = request->kind](const auto &answer) {
             if (const auto self = weak.lock(); self && !self->closed)
@@ -176,6 +183,25 @@
             this->server.mirror.list(*request, respond);
     }
 
+    void onOutcomes(const ViewFrame &frame)
+    {
+        balance::OutcomeSharing *outcomes = this->server.outcomes;
+        const auto request
+            = outcomes == nullptr ? std::nullopt : balance::decodeOutcomeRequest(frame.message);
+        if (!request)
+            return this->refuse();
+        if (!this->outcomeReader)
+            this->outcomeReader = outcomes->addReader();
+        outcomes->onRequest(
+            *this->outcomeReader, *request,
+            [weak = this->weak_from_this(),
+             requestId = frame.requestId](const balance::OutcomeReports &reports) {
+                if (const auto self = weak.lock(); self && !self->closed)
+                    self->send(requestId,
+                               std::make_shared<const Bytes>(balance::encodeOutcomeReply(reports)));
+            });
+    }
+
     void refuse()
     {
         this->server.counters.add("peer_view_malformed");
@@ -217,6 +243,7 @@
     FrameReader reader{maxViewRequestBytes};
     std::array<std::byte, 1'024> input{};
     Bytes output;
+    std::optional<balance::OutcomeReaderId> outcomeReader; //!< Set by the first exchange.
     bool writing = false;
     bool closed = false;
 };
@@ -240,9 +267,9 @@
 
 PeerViewServer::PeerViewServer(boost::asio::io_context &context, Endpoint endpoint,
                                balance::ObjectMirror &mirror, Counters &counters,
-                               PeerViewLimits limits)
+                               PeerViewLimits limits, balance::OutcomeSharing *outcomes)
     : state(std::make_shared<internal::PeerViewServerState>(context, endpoint, mirror, counters,
-                                                            limits))
+                                                            limits, outcomes))
 {}
 
 PeerViewServer::~PeerViewServer()
--- a/src/role/PeerViewServer.h
+++ b/src/role/PeerViewServer.h
@@ -2,6 +2,7 @@
 
 #include "base/Counters.h"
 #include "base/Endpoint.h"
+#include "ejection/OutcomeSharing.h"
 #include "view/ObjectMirror.h"
 #include "view/ViewCodec.h"
 
@@ -27,12 +28,15 @@
 struct PeerViewServerState;
 }
 
-/** \brief Serves an ObjectMirror to other instances with FlatBuffers messages over TCP. */
+/** \brief Serves an ObjectMirror to other instances with FlatBuffers messages over TCP, and
+ * exchanges outcomes of requests with them. */
 class PeerViewServer
 {
 public:
+    /** \param outcomes null to refuse the exchange of outcomes */
     PeerViewServer(boost::asio::io_context &context, Endpoint endpoint,
-                   balance::ObjectMirror &mirror, Counters &counters, PeerViewLimits limits = {});
+                   balance::ObjectMirror &mirror, Counters &counters, PeerViewLimits limits = {},
+                   balance::OutcomeSharing *outcomes = nullptr);
     ~PeerViewServer();
     PeerViewServer(const PeerViewServer &) = delete;
     PeerViewServer &operator=(const PeerViewServer &) = delete;
--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -150,15 +150,26 @@
 
 bool ViewSources::isSelected(std::string_view subject, unsigned count) const
 {
-    const KeyedHash hash(internal::selectionKey);
-    const std::uint64_t subjectHash = hash(subject);
-    const std::uint64_t own = hash(subjectHash, hash(std::string_view(this->self.name)));
-    const auto before = std::ranges::count_if(this->others, [&](const Member &other) {
-        return hash(subjectHash, hash(std::string_view(other.name))) < own;
-    });
+    const std::uint64_t own = hashOf(subject, this->self.name);
+    const auto before = std::ranges::count_if(
+        this->others, [&](const Member &other) { return hashOf(subject, other.name) < own; });
     return std::cmp_less(before, count);
 }
 
+bool ViewSources::isSelectedInDomain(std::string_view subject) const
+{
+    const std::uint64_t own = hashOf(subject, this->self.name);
+    return std::ranges::none_of(this->others, [&](const Member &other) {
+        return other.domain == this->self.domain && hashOf(subject, other.name) < own;
+    });
+}
+
+std::uint64_t ViewSources::hashOf(std::string_view subject, std::string_view name)
+{
+    const KeyedHash hash(internal::selectionKey);
+    return hash(hash(subject), hash(name));
+}
+
 HedgedList::Plan ViewSources::startPlan() const
 {
     const ViewSource store;
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -7,6 +7,7 @@
 #include "view/ViewSource.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <string_view>
@@ -80,6 +81,9 @@
      * selects for \a subject; instances with the same members agree. */
     [[nodiscard]] bool isSelected(std::string_view subject, unsigned count) const;
 
+    /** \returns whether this instance is the one that rendezvous hashing selects in its domain. */
+    [[nodiscard]] bool isSelectedInDomain(std::string_view subject) const;
+
     [[nodiscard]] unsigned instancesInDomain() const
     {
         return static_cast<unsigned>(this->domainTree.size());
@@ -97,6 +101,9 @@
     void addSource(const ViewSource &source);
     [[nodiscard]] std::size_t storeIndex() const;
 
+    /** \returns the rendezvous hash of a subject and an instance. */
+    [[nodiscard]] static std::uint64_t hashOf(std::string_view subject, std::string_view name);
+
     /** \returns an instance of the own domain that suits the lists of a start, or nothing. */
     [[nodiscard]] std::optional<Endpoint> startPeer() const;
 
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -36,6 +36,8 @@
 struct Objects;
 struct ObjectsBuilder;
 
+struct OutcomeReport;
+
 struct Request;
 struct RequestBuilder;
 
@@ -183,6 +185,52 @@
 };
 FLATBUFFERS_STRUCT_END(Share, 8);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) OutcomeReport FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t flowTag_;
+  uint16_t failures_;
+  uint16_t requests_;
+  uint16_t ejectedMs_;
+  uint8_t reinstated_;
+  int8_t padding0__;
+
+ public:
+  OutcomeReport()
+      : flowTag_(0),
+        failures_(0),
+        requests_(0),
+        ejectedMs_(0),
+        reinstated_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  OutcomeReport(uint32_t _flowTag, uint16_t _failures, uint16_t _requests, uint16_t _ejectedMs, bool _reinstated)
+      : flowTag_(flatbuffers::EndianScalar(_flowTag)),
+        failures_(flatbuffers::EndianScalar(_failures)),
+        requests_(flatbuffers::EndianScalar(_requests)),
+        ejectedMs_(flatbuffers::EndianScalar(_ejectedMs)),
+        reinstated_(flatbuffers::EndianScalar(static_cast<uint8_t>(_reinstated))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t flowTag() const {
+    return flatbuffers::EndianScalar(flowTag_);
+  }
+  uint16_t failures() const {
+    return flatbuffers::EndianScalar(failures_);
+  }
+  uint16_t requests() const {
+    return flatbuffers::EndianScalar(requests_);
+  }
+  uint16_t ejectedMs() const {
+    return flatbuffers::EndianScalar(ejectedMs_);
+  }
+  bool reinstated() const {
+    return flatbuffers::EndianScalar(reinstated_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(OutcomeReport, 12);
+
 struct Route FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef RouteBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
@@ -643,7 +691,8 @@
     VT_WATCH = 6,
     VT_SINCE = 8,
     VT_WAITMS = 10,
-    VT_DIRECT = 12
+    VT_DIRECT = 12,
+    VT_OUTCOMES = 14
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -660,6 +709,9 @@
   bool direct() const {
     return GetField<uint8_t>(VT_DIRECT, 0) != 0;
   }
+  const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *>(VT_OUTCOMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -667,6 +719,8 @@
            VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_WAITMS, 4) &&
            VerifyField<uint8_t>(verifier, VT_DIRECT, 1) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
            verifier.EndTable();
   }
 };
@@ -690,6 +744,9 @@
   void add_direct(bool direct) {
     fbb_.AddElement<uint8_t>(Request::VT_DIRECT, static_cast<uint8_t>(direct), 0);
   }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes) {
+    fbb_.AddOffset(Request::VT_OUTCOMES, outcomes);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -707,9 +764,11 @@
     bool watch = false,
     uint64_t since = 0,
     uint32_t waitMs = 0,
-    bool direct = false) {
+    bool direct = false,
+    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0) {
   RequestBuilder builder_(_fbb);
   builder_.add_since(since);
+  builder_.add_outcomes(outcomes);
   builder_.add_waitMs(waitMs);
   builder_.add_direct(direct);
   builder_.add_watch(watch);
@@ -717,12 +776,32 @@
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Request> CreateRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t kind = 0,
+    bool watch = false,
+    uint64_t since = 0,
+    uint32_t waitMs = 0,
+    bool direct = false,
+    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr) {
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::OutcomeReport>(*outcomes) : 0;
+  return bulrushgap::viewwire::CreateRequest(
+      _fbb,
+      kind,
+      watch,
+      since,
+      waitMs,
+      direct,
+      outcomes__);
+}
+
 struct Reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef ReplyBuilder Builder;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_RESULT = 4,
     VT_REVISION = 6,
-    VT_OBJECTS = 8
+    VT_OBJECTS = 8,
+    VT_OUTCOMES = 10
   };
   uint8_t result() const {
     return GetField<uint8_t>(VT_RESULT, 0);
@@ -733,12 +812,17 @@
   const bulrushgap::viewwire::Objects *objects() const {
     return GetPointer<const bulrushgap::viewwire::Objects *>(VT_OBJECTS);
   }
+  const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *outcomes() const {
+    return GetPointer<const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *>(VT_OUTCOMES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
            VerifyOffset(verifier, VT_OBJECTS) &&
            verifier.VerifyTable(objects()) &&
+           VerifyOffset(verifier, VT_OUTCOMES) &&
+           verifier.VerifyVector(outcomes()) &&
            verifier.EndTable();
   }
 };
@@ -756,6 +840,9 @@
   void add_objects(flatbuffers::Offset<bulrushgap::viewwire::Objects> objects) {
     fbb_.AddOffset(Reply::VT_OBJECTS, objects);
   }
+  void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes) {
+    fbb_.AddOffset(Reply::VT_OUTCOMES, outcomes);
+  }
   explicit ReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -771,14 +858,31 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint8_t result = 0,
     uint64_t revision = 0,
-    flatbuffers::Offset<bulrushgap::viewwire::Objects> objects = 0) {
+    flatbuffers::Offset<bulrushgap::viewwire::Objects> objects = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0) {
   ReplyBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_outcomes(outcomes);
   builder_.add_objects(objects);
   builder_.add_result(result);
   return builder_.Finish();
 }
 
+inline flatbuffers::Offset<Reply> CreateReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint8_t result = 0,
+    uint64_t revision = 0,
+    flatbuffers::Offset<bulrushgap::viewwire::Objects> objects = 0,
+    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr) {
+  auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::OutcomeReport>(*outcomes) : 0;
+  return bulrushgap::viewwire::CreateReply(
+      _fbb,
+      result,
+      revision,
+      objects,
+      outcomes__);
+}
+
 }  // namespace viewwire
 }  // namespace bulrushgap
 
--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -28,8 +28,9 @@
     explicit EjectionFixture(std::size_t upstreams)
         : policy(this->directory, this->counters,
                  {[this](const EjectionChange &change) { this->changes.push_back(change); },
-                  [this](std::string_view) {
-                      return this->placesTrials;
+                  [this](std::string_view) { return this->placesTrials; },
+                  [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
+                      this->told.push_back({upstream, counts});
                   }})
     {
         for (std::size_t i = 0; i < upstreams; ++i)
@@ -88,6 +89,7 @@
     }};
     Counters counters;
     std::vector<EjectionChange> changes;
+    std::vector<std::pair<UpstreamIndex, OutcomeCounts>> told;
     bool placesTrials = true;
     std::uint64_t revision = 0;
     EjectionPolicy policy;
@@ -245,8 +247,15 @@
         fixture.observe(0, 0, 9, 1'900);
         CHECK(fixture.ejected().contains(0));
     }
+    SECTION("answers without a trial do not count")
+    {
+        fixture.observe(0, 0, 9, 2'100);
+        CHECK(fixture.ejected().contains(0));
+        CHECK(fixture.trialAt(0) == 2'000);
+    }
     SECTION("three answers")
     {
+        fixture.policy.onTrialPlaced(0);
         fixture.observe(0, 0, 2, 2'100);
         CHECK(fixture.ejected().contains(0));
         fixture.observe(0, 0, 1, 2'200);
@@ -260,6 +269,7 @@
     {
         int now = 2'000;
         for (const int delay : {4'000, 8'000, 16'000, 16'000}) {
+            fixture.policy.onTrialPlaced(0);
             fixture.observe(0, 0, 2, now);
             fixture.observe(0, 1, 0, now);
             CHECK(fixture.trialAt(0) == now + delay);
@@ -268,6 +278,7 @@
     }
     SECTION("a return within 30 s does not reset the delay")
     {
+        fixture.policy.onTrialPlaced(0);
         fixture.observe(0, 0, 3, 2'100);
         fixture.observeFrom(1, 0, 5, 20'000);
         fixture.observe(0, 2, 0, 20'000);
@@ -275,6 +286,7 @@
     }
     SECTION("after 30 s the delay starts anew")
     {
+        fixture.policy.onTrialPlaced(0);
         fixture.observe(0, 0, 3, 2'100);
         fixture.observeFrom(1, 0, 5, 40'000);
         fixture.observe(0, 2, 0, 40'000);
@@ -301,6 +313,85 @@
     }
 }
 
+// Guards against failures of which other instances do not learn, and against an instance with a
+// fault of its own that reports it as one of the upstreams.
+TEST_CASE("an instance tells failures with the requests since the last one", "[EjectionPolicy]")
+{
+    using Told = std::vector<std::pair<UpstreamIndex, OutcomeCounts>>;
+    EjectionFixture fixture(10);
+    SECTION("requests since the last failure")
+    {
+        fixture.observe(0, 0, 3, 0);
+        fixture.observe(0, 1, 0, 100);
+        fixture.observe(0, 0, 2, 200);
+        CHECK(fixture.told == Told{{0, {1, 4}}});
+        fixture.observe(0, 1, 0, 300);
+        CHECK(fixture.told == Told{{0, {1, 4}}, {0, {1, 3}}});
+    }
+    SECTION("old requests do not count")
+    {
+        fixture.observe(0, 0, 50, 0);
+        fixture.observe(0, 1, 0, 9'000);
+        CHECK(fixture.told == Told{{0, {1, 1}}});
+    }
+    SECTION("nothing while most upstreams fail")
+    {
+        fixture.observeFrom(1, 2, 1, 0);
+        fixture.told.clear();
+        fixture.observe(0, 1, 0, 0);
+        CHECK(fixture.told.empty());
+    }
+}
+
+// Guards against a restarted instance that tries each ejected upstream again, and against an
+// ejection that goes on although the trials of another instance succeeded.
+TEST_CASE("ejections of other instances are adopted and ended", "[EjectionPolicy]")
+{
+    EjectionFixture fixture(10);
+    fixture.policy.adopt(0, milliseconds(1'500), at(0));
+    CHECK(fixture.ejected() == std::set<UpstreamIndex>{0});
+    CHECK(fixture.trialAt(0) == 1'500);
+    CHECK(fixture.changes.back().evidence == EjectionEvidence::Told);
+    SECTION("the share of a service that is ejected stays bounded")
+    {
+        fixture.policy.adopt(1, milliseconds(1'500), at(0));
+        fixture.policy.adopt(2, milliseconds(1'500), at(0));
+        CHECK(fixture.ejected() == std::set<UpstreamIndex>{0, 1});
+        CHECK(fixture.counters.value("ejection_limit") == 1);
+    }
+    SECTION("an ejection in force stays as it is")
+    {
+        fixture.policy.adopt(0, milliseconds(9'000), at(10));
+        CHECK(fixture.trialAt(0) == 1'500);
+    }
+    SECTION("it is told to the next instance with the rest of its delay")
+    {
+        std::vector<std::pair<UpstreamIndex, Duration>> seen;
+        const auto visit = [&](UpstreamIndex upstream, Duration delay) {
+            seen.emplace_back(upstream, delay);
+        };
+        fixture.policy.visitEjected(visit, at(500));
+        fixture.policy.visitEjected(visit, at(5'000));
+        CHECK(seen
+              == std::vector<std::pair<UpstreamIndex, Duration>>{{0, milliseconds(1'000)},
+                                                                 {0, milliseconds(1)}});
+    }
+    SECTION("a reported return ends it")
+    {
+        fixture.policy.onReportedReturn(0, at(1'000));
+        fixture.policy.onReportedReturn(1, at(1'000));
+        CHECK(fixture.ejected().empty());
+        CHECK(fixture.changes.size() == 2);
+    }
+    SECTION("a reported failure after the delay starts it again")
+    {
+        fixture.policy.addReported(0, {1, 1}, at(1'400));
+        CHECK(fixture.trialAt(0) == 1'500);
+        fixture.policy.addReported(0, {1, 1}, at(1'600));
+        CHECK(fixture.trialAt(0) == 1'600 + 4'000);
+    }
+}
+
 // Guards against trials by all instances at the same time.
 TEST_CASE("an instance that does not place the trials waits longer", "[EjectionPolicy]")
 {
