--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -3,6 +3,8 @@
 #include "steering/FlowNames.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -21,6 +23,15 @@
 
 constexpr Duration statusInterval = std::chrono::seconds(5);
 
+/** A starting instance adopts the ejections of other instances for this long. */
+constexpr Duration adoptionTime = std::chrono::seconds(5);
+
+std::uint16_t toWire(std::int64_t number)
+{
+    return static_cast<std::uint16_t>(
+        std::min<std::int64_t>(number, std::numeric_limits<std::uint16_t>::max()));
+}
+
 std::string_view livenessCounter(Liveness liveness)
 {
     switch (liveness) {
@@ -70,6 +81,7 @@
           {this->options.self.domain, this->options.flowCapacity, this->options.learnedCapacity},
           this->directory, this->routes, random, this->steeringHooks())
     , sources(this->options.self, this->options.seeds, this->options.firstStart)
+    , sharing(scheduler, random, this->sharingHooks())
     , sourcedStore(scheduler, store, this->sources, counters, log, this->sourceHooks())
     , mirror(scheduler, this->mirrorHooks())
     , sweeper(scheduler, memberStore, this->options.self.name, counters, log, this->sweeperHooks())
@@ -78,6 +90,8 @@
             this->sweeper},
            counters, log, [this] { this->onViewChange(); })
     , registration(scheduler, memberStore, random, this->options.self, log)
+    , domainUpstreams(this->directory, this->routes, this->options.self.domain)
+    , readiness(scheduler, this->options.self, counters, log, this->readinessHooks())
 {}
 
 SteeringHooks Balancer::steeringHooks()
@@ -93,12 +107,18 @@
         = [this](UpstreamIndex upstream, Liveness before, std::string_view evidence) {
               this->onLivenessChange(upstream, before, evidence);
           };
+    result.onReachabilityChange = [this](const ReachabilityChange &change) {
+        this->onReachabilityChange(change);
+    };
     result.isBudgetSharer = [this](std::string_view upstream, unsigned count) {
         return this->sources.isSelected(upstream, count);
     };
     result.verifyRegistry = [this] {
         this->view.verifyUpstreams(this->store);
     };
+    result.registryConfirmedAt = [this] {
+        return this->view.registryConfirmedAt();
+    };
     result.resetFlow = [this](const FlowPacket &flow, UpstreamIndex upstream) {
         this->hooks.resetCaller(flow);
         this->log.info("flow_reset", {{"flow", flowName(flow)},
@@ -123,8 +143,29 @@
 EjectionHooks Balancer::ejectionHooks()
 {
     return {[this](const EjectionChange &change) { this->onEjectionChange(change); },
-            [](std::string_view /*upstream*/) {
-                return true;
+            [this](std::string_view upstream) {
+                return !this->sharing.hasNeighbours() || this->sources.isSelectedInDomain(upstream);
+            },
+            [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
+                this->sharing.tell({this->directory.at(upstream).flowTag,
+                                    internal::toWire(counts.failures),
+                                    internal::toWire(counts.requests), 0, false});
+            }};
+}
+
+OutcomeSharingHooks Balancer::sharingHooks()
+{
+    return {[this]() -> std::optional<ViewSource> {
+                const ViewSource &source = this->sources.current();
+                // A direct source is in another domain.
+                if (source.isStore() || source.direct)
+                    return std::nullopt;
+                return source;
+            },
+            this->hooks.connectOutcomes,
+            [this](const OutcomeReport &report) { this->onReport(report); },
+            [this] {
+                return this->ejections();
             }};
 }
 
@@ -148,15 +189,35 @@
 MemberSweeperHooks Balancer::sweeperHooks()
 {
     return {[this](Endpoint peer, MemberSweeperHooks::CheckHandler handler) {
-                this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
-                    handler(result == ProbeResult::Connected);
-                });
+                this->connect(peer, std::move(handler));
             },
             [this] {
                 return this->sourcedStore.isDirect();
             }};
 }
 
+DomainReadinessHooks Balancer::readinessHooks()
+{
+    return {[this](Endpoint peer, DomainReadinessHooks::ConnectHandler handler) {
+                this->connect(peer, std::move(handler));
+            },
+            [this] {
+                return ReadinessFacts{this->domainUpstreams.supply(),
+                                      this->domainUpstreams.lastAnswerElsewhere(),
+                                      this->sourcedStore.sourceLostAt()};
+            },
+            [this] {
+                return this->sources.otherInstances();
+            }};
+}
+
+void Balancer::connect(Endpoint peer, std::function<void(bool connected)> handler)
+{
+    this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
+        handler(result == ProbeResult::Connected);
+    });
+}
+
 void Balancer::startProbe(UpstreamIndex upstream)
 {
     this->counters.add("probe");
@@ -172,11 +233,11 @@
 {
     this->counters.add("probe_witness");
     const TimePoint startedAt = this->scheduler.now();
-    this->hooks.probe(this->directory.at(upstream).entry.address,
-                      [this, startedAt](ProbeResult result) {
-                          if (result == ProbeResult::Connected)
-                              this->steering.onReferenceConnected(startedAt, this->scheduler.now());
-                      });
+    this->hooks.probe(this->directory.at(upstream).entry.address, [this, upstream,
+                                                                   startedAt](ProbeResult result) {
+        this->steering.onReferenceResult(upstream, result, startedAt, this->scheduler.now());
+        this->scheduleTick();
+    });
 }
 
 void Balancer::start()
@@ -201,6 +262,7 @@
                             {"delay_ms", toMilliseconds(this->options.stopDelay)}});
     // The routers remove this instance after its next readiness checks; packets arrive until then.
     this->mirror.refuseAllPending();
+    this->readiness.stop();
     this->stopTimer
         = this->scheduler.after(this->options.stopDelay, [this] { this->hooks.onStopped(); });
 }
@@ -280,7 +342,8 @@
                               {"store_lists", this->counters.value("store_list")},
                               {"store_watches", this->counters.value("store_watch")},
                               {"store_writes", this->counters.value("store_write")},
-                              {"probes", this->counters.value("probe")}});
+                              {"probes", this->counters.value("probe")},
+                              {"unreachable_domains", this->unreachableDomains()}});
     this->statusTimer
         = this->scheduler.after(internal::statusInterval, [this] { this->reportStatus(); });
 }
@@ -295,11 +358,15 @@
         this->becomeReady();
     if (!this->stopping && !this->view.hasMember(this->options.self))
         this->registration.ensure();
+    this->readiness.onChange();
 }
 
 void Balancer::becomeReady()
 {
     this->sources.onViewComplete();
+    this->readyAt = this->scheduler.now();
+    if (this->options.ejection && this->hooks.connectOutcomes)
+        this->sharing.start();
     const bool late = this->scheduler.now() - this->startedAt > internal::maxPacketWait;
     this->hooks.onReady(late);
     this->log.info("ready", {{"upstreams", this->directory.registeredCount()},
@@ -307,6 +374,8 @@
                              {"version", this->routes.version()},
                              {"source", this->sources.current().toString()},
                              {"age_ms", toMilliseconds(this->sourcedStore.age())}});
+    if (!this->stopping)
+        this->readiness.start();
 }
 
 void Balancer::onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence)
@@ -321,6 +390,11 @@
                                        {"evidence", evidence},
                                        {"last_answer_ms", toMilliseconds(silence)},
                                        {"flows", changed.openFlows}});
+    const bool suspect = changed.health.liveness() != Liveness::Alive;
+    if (suspect && changed.entry.domain != this->options.self.domain)
+        this->readiness.onSuspicion();
+    else
+        this->readiness.onChange();
 }
 
 void Balancer::onOutcome(const RequestObservation &observation)
@@ -345,6 +419,53 @@
                     {"requests", change.requests},
                     {"service_share", change.serviceShare},
                     {"delay_ms", toMilliseconds(change.delay)}});
+    const bool byOwnTrials = change.kind == EjectionChange::Kind::Reinstated
+                             && change.evidence == EjectionEvidence::Trial;
+    if (byOwnTrials)
+        this->sharing.tell({this->directory.at(change.upstream).flowTag, 0, 0, 0, true});
+}
+
+void Balancer::onReport(const OutcomeReport &report)
+{
+    this->counters.add("outcome_report");
+    const UpstreamIndex upstream = this->directory.findByTag(report.flowTag);
+    if (upstream == noUpstream)
+        return;
+    const TimePoint now = this->scheduler.now();
+    if (report.reinstated)
+        this->ejection.onReportedReturn(upstream, now);
+    if (report.failures > 0)
+        this->ejection.addReported(upstream, {report.failures, report.requests}, now);
+    // Later, this instance judges by itself: another one may have missed a return.
+    if (report.ejectedMs > 0 && now - this->readyAt < internal::adoptionTime)
+        this->ejection.adopt(upstream, std::chrono::milliseconds(report.ejectedMs), now);
+}
+
+OutcomeReports Balancer::ejections() const
+{
+    OutcomeReports reports;
+    this->ejection.visitEjected(
+        [&](UpstreamIndex upstream, Duration delay) {
+            reports.push_back({this->directory.at(upstream).flowTag, 0, 0,
+                               internal::toWire(toMilliseconds(delay)), false});
+        },
+        this->scheduler.now());
+    return reports;
+}
+
+void Balancer::onReachabilityChange(const ReachabilityChange &change)
+{
+    if (change.unreachable)
+        this->counters.add("domain_unreachable");
+    const Duration silence = this->scheduler.now() - change.lastAnswer;
+    const std::string_view reachable = "reachable";
+    const std::string_view unreachable = "unreachable";
+    this->log.info("domain_reachability", {{"domain", this->directory.domainName(change.domain)},
+                                           {"before", change.unreachable ? reachable : unreachable},
+                                           {"after", change.unreachable ? unreachable : reachable},
+                                           {"evidence", change.evidence},
+                                           {"failed", change.failedUpstreams},
+                                           {"last_answer_ms", toMilliseconds(silence)}});
 }
 
 void Balancer::onCapacityChange(UpstreamIndex upstream, double before, double after)
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -7,6 +7,9 @@
 #include "directory/RouteTable.h"
 #include "directory/UpstreamDirectory.h"
 #include "ejection/EjectionPolicy.h"
+#include "ejection/OutcomeSharing.h"
+#include "readiness/DomainReadiness.h"
+#include "readiness/DomainUpstreams.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
 #include "view/MemberRegistration.h"
@@ -43,6 +46,9 @@
     /** \returns a client for the objects of another instance. */
     std::function<std::unique_ptr<ObjectSource>(const ViewSource &source)> connectPeer;
 
+    /** \returns a connection to exchange outcomes with another instance. May be empty. */
+    std::function<std::unique_ptr<OutcomeSource>(const ViewSource &source)> connectOutcomes;
+
     /** The view is complete. \param late whether packets held until now are too old to forward. */
     std::function<void(bool late)> onReady;
 
@@ -72,7 +78,13 @@
     void beginStop();
 
     /** \returns whether the fabric may send packets to this instance. */
-    [[nodiscard]] bool isReady() const { return this->ready && !this->stopping; }
+    [[nodiscard]] bool isReady() const
+    {
+        return this->ready && !this->stopping && !this->readiness.isWithdrawn();
+    }
+
+    /** \returns whether the instance has left rotation because its domain can serve nothing. */
+    [[nodiscard]] bool isWithdrawn() const { return this->readiness.isWithdrawn(); }
 
     /** \brief Decides on a packet of a caller and logs the decision.
      * \param datagram the whole packet, searched for a request id */
@@ -94,7 +106,14 @@
     {
         return this->directory.candidates(service).size();
     }
+
+    /** \returns the number of failure domains that this instance cannot reach. */
+    [[nodiscard]] std::size_t unreachableDomains() const
+    {
+        return this->steering.reachability().unreachableCount();
+    }
     [[nodiscard]] ObjectMirror &objectMirror() { return this->mirror; }
+    [[nodiscard]] OutcomeSharing &outcomeSharing() { return this->sharing; }
     [[nodiscard]] const RouteTable &routeTable() const { return this->routes; }
 
     /** \returns the number of upstreams that new flows avoid because their requests fail. */
@@ -117,9 +136,12 @@
     [[nodiscard]] SteeringHooks steeringHooks();
     [[nodiscard]] FlowObserverHooks observerHooks();
     [[nodiscard]] EjectionHooks ejectionHooks();
+    [[nodiscard]] OutcomeSharingHooks sharingHooks();
     [[nodiscard]] SourcedStoreHooks sourceHooks();
     [[nodiscard]] ObjectMirrorHooks mirrorHooks();
     [[nodiscard]] MemberSweeperHooks sweeperHooks();
+    [[nodiscard]] DomainReadinessHooks readinessHooks();
+    void connect(Endpoint peer, std::function<void(bool connected)> handler);
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
     void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
@@ -132,6 +154,9 @@
     void onOutcome(const RequestObservation &observation);
     void onEjectionChange(const EjectionChange &change);
     void onCapacityChange(UpstreamIndex upstream, double before, double after);
+    void onReachabilityChange(const ReachabilityChange &change);
+    void onReport(const OutcomeReport &report);
+    [[nodiscard]] OutcomeReports ejections() const;
     void logDirectoryChange(const DirectoryChange &change);
     [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
@@ -148,17 +173,21 @@
     CapacityLearner capacity;
     PacketSteering steering;
     ViewSources sources;
+    OutcomeSharing sharing;
     SourcedStore sourcedStore;
     ObjectMirror mirror;
     MemberSweeper sweeper;
     ViewFollower view;
     MemberRegistration registration;
+    DomainUpstreams domainUpstreams;
+    DomainReadiness readiness;
     Scheduler::Timer tickTimer;
     Scheduler::Timer startTimer;
     Scheduler::Timer stopTimer;
     Scheduler::Timer statusTimer;
     std::optional<TimePoint> tickScheduledFor;
     TimePoint startedAt{};
+    TimePoint readyAt{};
     bool ready = false;
     bool stopping = false;
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> decisions{};
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -83,16 +83,25 @@
     const Liveness before = this->state;
     this->probeInterval = std::min(this->probeInterval * 2, internal::maxProbeInterval);
     this->nextProbe = now + this->probeInterval;
+    if (result != ProbeResult::TimedOut)
+        this->provenTimeouts = 0;
     switch (result) {
     case ProbeResult::Refused:
         this->timeouts = 0;
         this->state = Liveness::Refusing;
-        if (++this->refusals == 1)
-            this->nextProbe = now + internal::refusalInterval;
+        if (++this->refusals == 1) {
+            this->firstRefusalAt = now;
+            if (!this->refusalsDiscarded)
+                this->nextProbe = now + internal::refusalInterval;
+        }
+        if (this->refusals == internal::confirmingRefusals)
+            this->recordOutage(Outage::Kind::Refused, now);
         break;
     case ProbeResult::TimedOut:
         this->refusals = 0;
         ++this->timeouts;
+        if (++this->provenTimeouts == internal::confirmingTimeouts)
+            this->recordOutage(Outage::Kind::TimedOut, now);
         this->evaluateTimeouts(now);
         break;
     case ProbeResult::Inconclusive:
@@ -115,6 +124,21 @@
     return this->state != before || this->refusals == internal::confirmingRefusals;
 }
 
+void UpstreamHealth::discardRefusals()
+{
+    this->refusals = 0;
+    this->refusalsDiscarded = true;
+}
+
+bool UpstreamHealth::clearSuspicion(TimePoint now)
+{
+    if (this->state == Liveness::Alive)
+        return false;
+    this->clearedByProbeAt = TimePoint{};
+    this->setState(Liveness::Alive, now);
+    return true;
+}
+
 bool UpstreamHealth::countInconclusiveAsTimeouts(TimePoint now)
 {
     const Liveness before = this->state;
@@ -139,6 +163,21 @@
            || (this->state == Liveness::Refusing && this->refusals >= internal::confirmingRefusals);
 }
 
+void UpstreamHealth::recordOutage(Outage::Kind kind, TimePoint now)
+{
+    // A host that lost power refuses connections once it runs again without the process.
+    if (this->outage && this->outage->kind == Outage::Kind::Refused)
+        kind = Outage::Kind::Refused;
+    this->outage = Outage{kind, this->suspectSince, now};
+}
+
+std::optional<Outage> UpstreamHealth::takeEndedOutage()
+{
+    if (this->state == Liveness::Refusing || this->state == Liveness::Unreachable)
+        return std::nullopt;
+    return std::exchange(this->outage, std::nullopt);
+}
+
 void UpstreamHealth::probeStarted(TimePoint now)
 {
     ++this->pendingProbes;
@@ -154,10 +193,14 @@
     this->timeouts = 0;
     this->inconclusive = 0;
     this->refusals = 0;
+    this->provenTimeouts = 0;
+    this->refusalsDiscarded = false;
     this->probeInterval = internal::minProbeInterval;
     this->nextProbe.reset();
-    if (next == Liveness::Suspect)
+    if (next == Liveness::Suspect) {
+        this->suspectSince = now;
         this->nextProbe = now;
+    }
 }
 
 } // namespace bulrushgap::balance
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -25,6 +25,19 @@
     Inconclusive, //!< No answer, nor from any other upstream: the fault may be local.
 };
 
+/** \brief How an upstream was found to be down. */
+struct Outage
+{
+    enum class Kind : std::uint8_t {
+        Refused,  //!< Its process was not running, so it may return as another incarnation.
+        TimedOut, //!< It was cut off or had no power, while other upstreams were reached.
+    };
+
+    Kind kind = Kind::Refused;
+    TimePoint suspectedAt{}; //!< Its flows that were open before are lost if it restarts.
+    TimePoint confirmedAt{};
+};
+
 /** \brief Failure detection for one upstream, from overdue answers and probe results.
  *
  * Detects upstreams that fail without notice. Each answer that a caller acknowledges shows that the
@@ -48,6 +61,13 @@
     /** \brief Applies the result of a probe. \returns whether the state changed. */
     bool onProbeResult(ProbeResult result, TimePoint now);
 
+    /** \brief Starts the series of refusals anew: the upstream's domain has answered since. */
+    void discardRefusals();
+
+    /** \brief Counts the upstream as alive again: its whole domain was out of reach. \returns
+     * whether the state changed. */
+    bool clearSuspicion(TimePoint now);
+
     /** \brief Cancels the expected answer: after a pause of this process, a late answer is no
      * evidence. */
     void cancelExpectedAnswer() { this->answerDue.reset(); }
@@ -63,10 +83,24 @@
      * probes failed in the same way. */
     [[nodiscard]] bool isConfirmedDown() const;
 
+    /** \returns the outage from which the upstream has returned, once; nothing while it is down. An
+     * outage of this instance's own connectivity is none of the upstream. */
+    [[nodiscard]] std::optional<Outage> takeEndedOutage();
+
     [[nodiscard]] Liveness liveness() const { return this->state; }
     [[nodiscard]] bool isWaiting() const { return this->answerDue.has_value(); }
     [[nodiscard]] std::optional<TimePoint> answerDueAt() const { return this->answerDue; }
     [[nodiscard]] TimePoint lastAnswer() const { return this->answeredAt; }
+    [[nodiscard]] TimePoint suspectedAt() const { return this->suspectSince; }
+    [[nodiscard]] unsigned pendingProbeCount() const { return this->pendingProbes; }
+
+    [[nodiscard]] bool hasDiscardedRefusals() const { return this->refusalsDiscarded; }
+
+    /** \returns when the first probe of the current series of refusals ended, if there is one. */
+    [[nodiscard]] std::optional<TimePoint> refusedSince() const
+    {
+        return this->refusals > 0 ? std::optional(this->firstRefusalAt) : std::nullopt;
+    }
 
     /** \returns when to probe next, or nothing while the upstream counts as alive. */
     [[nodiscard]] std::optional<TimePoint> probeAt() const { return this->nextProbe; }
@@ -74,18 +108,24 @@
 
 private:
     void evaluateTimeouts(TimePoint now);
+    void recordOutage(Outage::Kind kind, TimePoint now);
     void setState(Liveness next, TimePoint now);
 
     Liveness state = Liveness::Alive;
     std::optional<TimePoint> answerDue;
     std::optional<TimePoint> nextProbe;
     TimePoint answeredAt{};
+    std::optional<Outage> outage; //!< Present or ended outage, until it is taken.
     TimePoint clearedByProbeAt{}; //!< When a probe last cleared a suspicion without an answer.
+    TimePoint suspectSince{};
+    TimePoint firstRefusalAt{};
     Duration probeInterval{};
+    bool refusalsDiscarded = false; //!< The domain answered since the upstream became suspect.
     unsigned pendingProbes = 0;
-    unsigned timeouts = 0;     //!< Consecutive probes that timed out.
-    unsigned inconclusive = 0; //!< Consecutive inconclusive probes.
-    unsigned refusals = 0;     //!< Consecutive probes that were refused.
+    unsigned timeouts = 0;       //!< Consecutive probes that timed out.
+    unsigned inconclusive = 0;   //!< Consecutive inconclusive probes.
+    unsigned refusals = 0;       //!< Consecutive probes that were refused.
+    unsigned provenTimeouts = 0; //!< Consecutive timeouts while another upstream was reached.
 };
 
 } // namespace bulrushgap::balance
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -19,6 +19,7 @@
 constexpr double suspectPenalty = 100.0;
 constexpr double triedDomainPenalty = 200.0;
 constexpr double triedPenalty = 300.0;
+constexpr double coldReturnPenalty = 900.0; //!< Beyond its budget, only if all others fail.
 constexpr double refusingPenalty = 1'000.0;
 constexpr double maxJitter = 0.01;
 
@@ -48,8 +49,10 @@
 
 } // namespace internal
 
-Placement::Placement(UpstreamDirectory &directory, std::string domain, Random &random)
+Placement::Placement(UpstreamDirectory &directory, const DomainReachability &reachability,
+                     std::string domain, Random &random)
     : directory(directory)
+    , reachability(reachability)
     , domain(std::move(domain))
     , random(random)
 {}
@@ -80,12 +83,15 @@
                                choice);
         }
         // Refuse the flow only after every candidate was considered.
-        for (std::size_t i = 0; i < candidates.size() && choice.upstream == noUpstream; ++i)
+        const auto isLastResort = [&choice] {
+            return choice.upstream == noUpstream || choice.score >= internal::coldReturnPenalty;
+        };
+        for (std::size_t i = 0; i < candidates.size() && isLastResort(); ++i)
             this->consider(candidates[i], constraints, now, choice);
     }
     if (choice.upstream != noUpstream) {
         Upstream &upstream = this->directory.at(choice.upstream);
-        if (now < upstream.coldUntil)
+        if (upstream.isCold(now))
             static_cast<void>(upstream.coldBudget.take(now));
         choice.isTrial = internal::isTrial(upstream, constraints, now);
         if (choice.isTrial)
@@ -98,15 +104,20 @@
                          TimePoint now, PlacementChoice &choice)
 {
     Upstream &upstream = this->directory.at(index);
-    if (upstream.health.isConfirmedDown()) {
+    if (upstream.health.isConfirmedDown()
+        || this->reachability.isUnreachable(upstream.domainIndex)) {
         ++choice.unreachable;
         return;
     }
-    if (now < upstream.coldUntil && !upstream.coldBudget.available(now)) {
+    const bool withoutBudget = upstream.isCold(now) && !upstream.coldBudget.available(now);
+    if (withoutBudget) {
         ++choice.withoutBudget;
-        return;
+        if (!upstream.isProbablyWarm(now))
+            return;
     }
     double score = this->scoreOf(upstream, constraints, now);
+    if (withoutBudget)
+        score += internal::coldReturnPenalty;
     if (this->wasTried(index, constraints))
         score += internal::triedPenalty;
     if (choice.upstream != noUpstream && score >= choice.score)
@@ -128,7 +139,7 @@
     score += 1.0 / slots - 1.0 / std::max(1U, upstream.entry.slots);
     if (upstream.entry.domain != this->domain)
         score += internal::crossDomainPenalty;
-    if (now < upstream.coldUntil)
+    if (upstream.isCold(now))
         score += internal::slowStartPenalty;
     score += internal::livenessPenalty(upstream.health.liveness());
     if (internal::isTrial(upstream, constraints, now))
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -61,7 +61,8 @@
     , prober(context, internal::probeTimeout)
     , balancer(internal::makeOptions(this->settings), this->scheduler, this->store, this->store,
                this->random, this->counters, this->log, this->hooks())
-    , viewServer(context, this->settings.peerAddress, this->balancer.objectMirror(), this->counters)
+    , viewServer(context, this->settings.peerAddress, this->balancer.objectMirror(), this->counters,
+                 {}, this->settings.ejection ? &this->balancer.outcomeSharing() : nullptr)
     , packetPort(
           context, this->settings.packetAddress, platform::upstreamIdBytes,
           platform::maxDatagramBytes,
@@ -73,7 +74,10 @@
               this->balancer.scheduleTick();
           })
     , operationsServer(context, this->settings.readyAddress, internal::serverLimits())
-{}
+{
+    this->metrics.addGauge("readiness_is_withdrawn",
+                           [this] { return this->balancer.isWithdrawn() ? 1.0 : 0.0; });
+}
 
 balance::BalancerHooks BalancerRole::hooks()
 {
@@ -88,6 +92,10 @@
         return std::make_unique<PeerViewClient>(this->context, source.peer.value(), this->counters,
                                                 PeerReadOptions::of(source));
     };
+    result.connectOutcomes = [this](const balance::ViewSource &source) {
+        return std::make_unique<PeerViewClient>(this->context, source.peer.value(), this->counters,
+                                                PeerReadOptions::of(source));
+    };
     result.onReady = [this](bool discardReceived) {
         this->packetPort.startReading(discardReceived);
     };
@@ -117,6 +125,9 @@
                            [this] { return this->balancer.capacitySpread().least; });
     this->metrics.addGauge("upstream_capacity_mean",
                            [this] { return this->balancer.capacitySpread().mean; });
+    this->metrics.addGauge("unreachable_domains", [this] {
+        return static_cast<double>(this->balancer.unreachableDomains());
+    });
     this->operationsServer.route("GET", "/-/ready",
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -4,6 +4,7 @@
 #include "base/Scheduler.h"
 #include "service/Log.h"
 #include "steering/PacketSteering.h"
+#include "view/MalformedObjects.h"
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
 #include "view/SourcedStore.h"
@@ -43,6 +44,10 @@
     /** \brief Lists all upstreams of \a registry and applies changes that the watch has missed. */
     void verifyUpstreams(ObjectSource &registry);
 
+    /** \returns when the store last confirmed the upstreams of the view, or nothing while they
+     * can't be read. */
+    [[nodiscard]] std::optional<TimePoint> registryConfirmedAt() const;
+
     /** \returns all objects of a kind in the view. */
     [[nodiscard]] std::vector<ViewItem> snapshot(ViewKind kind) const;
 
@@ -63,7 +68,6 @@
     /** \brief Passes an update on to the instances that read from this one. */
     void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update);
     void onReachable(ViewKind kind, bool reachable);
-    void logMalformed(ViewKind kind, const ViewUpdate &update);
     void applyEvacuation(const std::string &domain, bool isEvacuated);
 
     const Scheduler &scheduler;
@@ -72,6 +76,7 @@
     Counters &counters;
     Log &log;
     ChangeHandler onChange;
+    MalformedObjects malformedObjects;
     ViewWatch upstreamWatch;
     ViewWatch configurationWatch;
     ViewWatch evacuationWatch;
@@ -83,6 +88,7 @@
     std::uint64_t upstreamsRevision = 0; //!< Store revision up to which upstreams are known.
     bool membersKnown = false;
     bool upstreamsKnown = false;
+    bool upstreamsReachable = false;
     bool evacuationsKnown = false;
 };
 
--- a/tests/LearnedCapacity.cpp
+++ b/tests/LearnedCapacity.cpp
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <functional>
 #include <memory>
 #include <string>
@@ -212,13 +211,11 @@
     service.run(std::chrono::seconds(3), perSecond);
     service.resetCounts();
     service.run(std::chrono::seconds(5), perSecond);
-    std::printf("slow share %f late %f factor %f\n", service.shareOf(0), service.lateShare(), service.factor(0));
     CHECK(service.shareOf(0) < 0.2 * 1.2 * fairShare);
     service.workers[0].speed = 1.0;
     service.run(std::chrono::seconds(20), perSecond);
     service.resetCounts();
     service.run(std::chrono::seconds(5), perSecond);
-    std::printf("back share %f\n", service.shareOf(0));
     CHECK(service.shareOf(0) > 0.8 * fairShare);
 }
 
