Keep a restarted instance out of rotation until its domain can serve

Change: an instance whose first view says that its domain can serve nothing asks other domains before it enters rotation.

--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -80,7 +80,8 @@
     /** \returns whether the fabric may send packets to this instance. */
     [[nodiscard]] bool isReady() const
     {
-        return this->ready && !this->stopping && !this->readiness.isWithdrawn();
+        return this->ready && !this->stopping && !this->readiness.isWithdrawn()
+               && !this->readiness.isStarting();
     }
 
     /** \returns whether the instance has left rotation because its domain can serve nothing. */
--- a/src/readiness/DomainReadiness.cpp
+++ b/src/readiness/DomainReadiness.cpp
@@ -60,8 +60,15 @@
 void DomainReadiness::start()
 {
     this->active = true;
-    this->holdUntil = this->scheduler.now() + internal::holdAfterStart;
-    this->evaluate();
+    const TimePoint now = this->scheduler.now();
+    const bool canServe = internal::mustStay(this->hooks.facts().supply)
+                          || !this->rotation.hasPeer(this->hooks.instances());
+    this->startPending = !canServe;
+    this->holdUntil = canServe ? now + internal::holdAfterStart : now;
+    if (this->startPending)
+        this->startRound(now);
+    else
+        this->evaluate();
 }
 
 void DomainReadiness::stop()
@@ -99,6 +106,7 @@
     if (internal::mustStay(facts.supply) || !this->rotation.hasPeer(this->hooks.instances())) {
         this->abandonRounds();
         this->cancelTimer();
+        this->startPending = false;
         this->unresolved = false;
         this->asked = 0;
         return;
@@ -156,6 +164,7 @@
     if (facts.lastAnswerElsewhere <= this->lastRoundAt)
         return;
     this->failedRounds = 0;
+    this->startPending = false;
     this->unresolved = false;
     this->asked = 0;
 }
@@ -163,7 +172,7 @@
 std::optional<TimePoint> DomainReadiness::nextRoundAt(const ReadinessFacts &facts,
                                                       TimePoint now) const
 {
-    if (this->failedRounds > 0 || this->unresolved)
+    if (this->failedRounds > 0 || this->unresolved || this->startPending)
         return this->lastRoundAt + internal::roundInterval;
     const auto suspicion = std::max(this->suspectedAt, facts.sourceLostAt);
     const TimePoint contact = std::max(facts.lastAnswerElsewhere, this->reachedAt);
@@ -229,6 +238,7 @@
 void DomainReadiness::onReached(TimePoint now)
 {
     this->abandonRounds();
+    this->startPending = false;
     this->unresolved = false;
     this->reachedAt = now;
     if (this->withdrawnAt)
@@ -264,6 +274,7 @@
 void DomainReadiness::withdraw(DomainSupply supply, TimePoint now)
 {
     this->withdrawnAt = now;
+    this->startPending = false;
     this->abandonRounds();
     this->counters.add("readiness_withdrawn");
     this->report(
--- a/src/readiness/DomainReadiness.h
+++ b/src/readiness/DomainReadiness.h
@@ -54,7 +54,9 @@
     DomainReadiness(const Scheduler &scheduler, const Member &self, Counters &counters, Log &log,
                     DomainReadinessHooks hooks);
 
-    /** \brief The instance has become ready. */
+    /** \brief The instance has its view. If its domain can serve nothing, it enters rotation only
+     * once another domain was reached: a single restarted instance in rotation would bring all
+     * callers of a domain back that has withdrawn. */
     void start();
 
     /** \brief The instance stops: ends all rounds. */
@@ -68,6 +70,9 @@
 
     [[nodiscard]] bool isWithdrawn() const { return this->withdrawnAt.has_value(); }
 
+    /** \returns whether a starting instance waits for the result of its first rounds. */
+    [[nodiscard]] bool isStarting() const { return this->startPending; }
+
 private:
     /** \brief Concurrent connections to instances of other domains. */
     struct Round
@@ -116,6 +121,7 @@
     TimePoint holdUntil{}; //!< No withdrawal before.
     std::optional<TimePoint> dueAt;
     Scheduler::Timer timer;
+    bool startPending = false; //!< Not in rotation until the first rounds have ended.
     bool active = false;
 };
 
