--- a/tests/ColdReturn.cpp
+++ b/tests/ColdReturn.cpp
@@ -314,6 +314,7 @@
 TEST_CASE("upstreams restart while the store is silent", "[ColdReturn]")
 {
     using namespace bulrushgap::simulation;
+    const auto kind = GENERATE(FaultKind::UpstreamCrash, FaultKind::UpstreamDark);
     const auto seed = GENERATE(range(1U, 5U));
     RunSettings settings = test::sampleRunSettings(std::chrono::seconds(15));
     for (ServiceSettings &service : settings.services)
@@ -322,8 +323,8 @@
         each.perSecond *= 2;
     const std::vector<PlannedFault> faults{
         {FaultKind::StoreSilent, std::chrono::seconds(3), std::chrono::seconds(6), 1.0},
-        {FaultKind::UpstreamCrash, std::chrono::seconds(4), milliseconds(1'500), 0.3}};
+        {kind, std::chrono::seconds(4), milliseconds(1'500), 0.3}};
     const RunReport report = test::simulate(settings, faults, seed);
-    INFO(report.toText());
+    INFO(test::faultLines(faults) << "seed " << seed << '\n' << report.toText());
     CHECK(report.broken(Promise::ColdRate) == 0);
 }
