Avoid a domain from the moment its neighbours are probed until one answers

Change: placement prefers other domains while several upstreams of a silent domain are probed, for 200 ms at the most. The age of the last answer in the log is -1 if there was none.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -290,15 +290,17 @@
 {
     if (change.unreachable)
         this->counters.add("domain_unreachable");
+    const bool answered = change.lastAnswer != TimePoint{};
     const Duration silence = this->scheduler.now() - change.lastAnswer;
     const std::string_view reachable = "reachable";
     const std::string_view unreachable = "unreachable";
-    this->log.info("domain_reachability", {{"domain", this->directory.domainName(change.domain)},
-                                           {"before", change.unreachable ? reachable : unreachable},
-                                           {"after", change.unreachable ? unreachable : reachable},
-                                           {"evidence", change.evidence},
-                                           {"failed", change.failedUpstreams},
-                                           {"last_answer_ms", toMilliseconds(silence)}});
+    this->log.info("domain_reachability",
+                   {{"domain", this->directory.domainName(change.domain)},
+                    {"before", change.unreachable ? reachable : unreachable},
+                    {"after", change.unreachable ? unreachable : reachable},
+                    {"evidence", change.evidence},
+                    {"failed", change.failedUpstreams},
+                    {"last_answer_ms", answered ? toMilliseconds(silence) : -1}});
 }
 
 void Balancer::logDirectoryChange(const DirectoryChange &change)
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -212,7 +212,7 @@
     if (found != this->domains.end())
         return static_cast<DomainIndex>(found - this->domains.begin());
     // Entries beyond this number of domains are faulty; they share the last index.
-    if (this->domains.size() <= std::numeric_limits<DomainIndex>::max())
+    if (this->domains.size() < std::numeric_limits<DomainIndex>::max())
         this->domains.emplace_back(domain);
     return static_cast<DomainIndex>(this->domains.size() - 1);
 }
--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -242,7 +242,10 @@
     const DomainIndex domain = this->directory.at(subject).domainIndex;
     if (this->domains.isUnreachable(domain) || this->domains.lastAnswer(domain) > since)
         return;
-    for (const UpstreamIndex neighbour : this->domainProbes.neighbours(subject, now)) {
+    const DomainProbes::Selection neighbours = this->domainProbes.neighbours(subject, now);
+    if (neighbours.front() != noUpstream)
+        this->domains.onProbesStarted(domain, now);
+    for (const UpstreamIndex neighbour : neighbours) {
         if (neighbour != noUpstream)
             this->hooks.startReferenceProbe(neighbour);
     }
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -118,6 +118,8 @@
     if (now < upstream.coldUntil)
         score += internal::slowStartPenalty;
     score += internal::livenessPenalty(upstream.health.liveness());
+    if (this->reachability.isInDoubt(upstream.domainIndex, now))
+        score += internal::suspectPenalty;
     if (constraints.avoidTriedDomains && this->isInTriedDomain(upstream, constraints))
         score += internal::triedDomainPenalty;
     return score;
--- a/src/reachability/DomainReachability.cpp
+++ b/src/reachability/DomainReachability.cpp
@@ -19,6 +19,9 @@
 /** A connected probe shows that this instance was connected for probes started this much later. */
 constexpr Duration connectionValidity = std::chrono::milliseconds(30);
 
+/** A verdict takes 110 ms; without one this instance may be isolated, and no domain is better. */
+constexpr Duration maxDoubt = std::chrono::milliseconds(200);
+
 } // namespace internal
 
 DomainReachability::DomainReachability(ChangeHandler onChange)
@@ -37,8 +40,22 @@
     subject.connectedProbeAt = std::max(subject.connectedProbeAt, startedAt);
     if (this->inQuestion == 0)
         return;
-    for (DomainIndex other = 0; other < this->domains.size(); ++other)
-        this->evaluate(other, now);
+    for (std::size_t other = 0; other < this->domains.size(); ++other)
+        this->evaluate(static_cast<DomainIndex>(other), now);
+}
+
+void DomainReachability::onProbesStarted(DomainIndex domain, TimePoint now)
+{
+    this->entry(domain).questionedAt = now;
+}
+
+bool DomainReachability::isInDoubt(DomainIndex domain, TimePoint now) const
+{
+    if (domain >= this->domains.size())
+        return false;
+    const Domain &subject = this->domains[domain];
+    return subject.questionedAt > subject.answeredAt
+           && now - subject.questionedAt < internal::maxDoubt;
 }
 
 void DomainReachability::onProbeFailed(DomainIndex domain, const FailedProbe &probe,
--- a/src/reachability/DomainReachability.h
+++ b/src/reachability/DomainReachability.h
@@ -53,6 +53,9 @@
     /** \brief Records a probe that connected. */
     void onConnected(DomainIndex domain, TimePoint startedAt, TimePoint now);
 
+    /** \brief Records that several upstreams of a silent domain are probed. */
+    void onProbesStarted(DomainIndex domain, TimePoint now);
+
     /** \brief Records a probe that did not connect.
      * \param registered the number of upstreams that the domain has */
     void onProbeFailed(DomainIndex domain, const FailedProbe &probe, std::size_t registered,
@@ -69,6 +72,9 @@
         return domain < this->domains.size() && this->domains[domain].unreachable;
     }
 
+    /** \returns whether several upstreams are being probed and none has answered yet. */
+    [[nodiscard]] bool isInDoubt(DomainIndex domain, TimePoint now) const;
+
     /** \returns whether a probe of an upstream other than \a upstream has failed since the last
      * answer of the domain. */
     [[nodiscard]] bool hasFailedBeside(DomainIndex domain, UpstreamIndex upstream) const;
@@ -82,7 +88,10 @@
     }
 
     /** \returns the number of domains of which anything was recorded; indexes are below it. */
-    [[nodiscard]] std::size_t domainCount() const { return this->domains.size(); }
+    [[nodiscard]] DomainIndex domainCount() const
+    {
+        return static_cast<DomainIndex>(this->domains.size());
+    }
 
     [[nodiscard]] std::size_t unreachableCount() const { return this->unreachable; }
 
@@ -91,6 +100,7 @@
     {
         TimePoint answeredAt{};       //!< Last acknowledged answer or connected probe.
         TimePoint connectedProbeAt{}; //!< Start of the latest probe that connected.
+        TimePoint questionedAt{};     //!< When several of its upstreams were probed.
         TimePoint firstFailureAt{};   //!< Start of the first failed probe that counts.
         TimePoint lastFailureAt{};    //!< Start of the last one.
         std::array<UpstreamIndex, requiredUpstreams> failed{};
--- a/tests/DomainReachability.cpp
+++ b/tests/DomainReachability.cpp
@@ -222,6 +222,21 @@
     CHECK(changes <= 2);
 }
 
+// Guards against flows that are placed in a partitioned domain before the verdict, and against a
+// domain that is avoided although it answers or although no other answers either.
+TEST_CASE("a domain is in doubt until one of its probed upstreams answers", "[DomainReachability]")
+{
+    DomainReachability reachability({});
+    CHECK_FALSE(reachability.isInDoubt(other, at(0)));
+    reachability.onAnswer(other, at(0));
+    reachability.onProbesStarted(other, at(100));
+    CHECK(reachability.isInDoubt(other, at(101)));
+    CHECK_FALSE(reachability.isInDoubt(own, at(101)));
+    CHECK_FALSE(reachability.isInDoubt(other, at(300)));
+    reachability.onConnected(other, at(100), at(103));
+    CHECK_FALSE(reachability.isInDoubt(other, at(104)));
+}
+
 namespace {
 
 /** \brief Failure detector of an instance in domain "a", with upstreams in three domains whose
