--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -146,6 +146,8 @@
         score -= internal::trialPreference;
     else if (upstream.ejection.ejected)
         score += internal::ejectedPenalty;
+    if (this->reachability.isInDoubt(upstream.domainIndex, now))
+        score += internal::suspectPenalty;
     if (constraints.avoidTriedDomains && this->isInTriedDomain(upstream, constraints))
         score += internal::triedDomainPenalty;
     return score;
