Place trials by rank in the domain; fuzz the exchange of outcomes

Cause: all instances but the first took over the trials of an upstream at the same time.

Change: each instance waits 4 s longer than the one ranked before it, at most 24 s. The view fuzz target decodes the exchange of outcomes.

--- a/fuzz/FuzzView.cpp
+++ b/fuzz/FuzzView.cpp
@@ -1,3 +1,4 @@
+#include "ejection/OutcomeCodec.h"
 #include "view/ViewCodec.h"
 
 #include <cstddef>
@@ -17,6 +18,10 @@
         return Bytes(bytes.begin(), bytes.end());
     }();
     static_cast<void>(balance::decodeRequest(message));
+    if (const auto request = balance::decodeOutcomeRequest(message))
+        static_cast<void>(balance::encodeOutcomeRequest(*request));
+    if (const auto reports = balance::decodeOutcomeReply(message))
+        static_cast<void>(balance::encodeOutcomeReply(*reports));
     if (const auto list = balance::decodeList(kind, message))
         static_cast<void>(balance::encodeList(kind, *list));
     if (const auto events = balance::decodeEvents(kind, message))
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -131,7 +131,7 @@
 {
     return {[this](const EjectionChange &change) { this->onEjectionChange(change); },
             [this](std::string_view upstream) {
-                return !this->sharing.hasNeighbours() || this->sources.isSelectedInDomain(upstream);
+                return this->sharing.hasNeighbours() ? this->sources.rankInDomain(upstream) : 0U;
             },
             [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
                 this->sharing.tell({this->directory.at(upstream).flowTag,
--- a/src/ejection/EjectionPolicy.cpp
+++ b/src/ejection/EjectionPolicy.cpp
@@ -25,8 +25,9 @@
 constexpr Duration levelRetention = std::chrono::seconds(30);
 constexpr unsigned answersToReturn = 3;
 
-/** Another instance places trials after this time if no outcome of one became known. */
+/** The next instance places trials after this time if no outcome of one became known. */
 constexpr Duration takeoverDelay = std::chrono::seconds(4);
+constexpr unsigned maxTakeovers = 6; // Below maxWithoutTrial.
 
 /** An ejection without outcomes of trials must not use up the limit. */
 constexpr Duration maxWithoutTrial = std::chrono::seconds(30);
@@ -258,9 +259,9 @@
     state.onTrial = false;
     state.answers = 0;
     Upstream &subject = this->directory.at(upstream);
-    const bool placesTrials = this->hooks.placesTrials(subject.entry.name);
-    subject.ejection
-        = {true, placesTrials ? state.delayEnd : state.delayEnd + internal::takeoverDelay};
+    const unsigned rank = this->hooks.trialRank(subject.entry.name);
+    const unsigned takeovers = std::min(rank, internal::maxTakeovers);
+    subject.ejection = {true, state.delayEnd + takeovers * internal::takeoverDelay};
     this->counters.add("ejected");
     change.kind = EjectionChange::Kind::Ejected;
     change.upstream = upstream;
--- a/src/ejection/EjectionPolicy.h
+++ b/src/ejection/EjectionPolicy.h
@@ -19,8 +19,8 @@
 {
     std::function<void(const EjectionChange &change)> onChange;
 
-    /** \returns whether this instance places the trials of an upstream; others wait for longer. */
-    std::function<bool(std::string_view upstream)> placesTrials;
+    /** \returns how many instances place the trials of an upstream before this one does. */
+    std::function<unsigned(std::string_view upstream)> trialRank;
 
     /** This instance observed a failure; the counts are those of the upstream since the last one.
      */
--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -156,12 +156,12 @@
     return std::cmp_less(before, count);
 }
 
-bool ViewSources::isSelectedInDomain(std::string_view subject) const
+unsigned ViewSources::rankInDomain(std::string_view subject) const
 {
     const std::uint64_t own = hashOf(subject, this->self.name);
-    return std::ranges::none_of(this->others, [&](const Member &other) {
+    return static_cast<unsigned>(std::ranges::count_if(this->others, [&](const Member &other) {
         return other.domain == this->self.domain && hashOf(subject, other.name) < own;
-    });
+    }));
 }
 
 std::uint64_t ViewSources::hashOf(std::string_view subject, std::string_view name)
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -81,8 +81,8 @@
      * selects for \a subject; instances with the same members agree. */
     [[nodiscard]] bool isSelected(std::string_view subject, unsigned count) const;
 
-    /** \returns whether this instance is the one that rendezvous hashing selects in its domain. */
-    [[nodiscard]] bool isSelectedInDomain(std::string_view subject) const;
+    /** \returns how many instances of the domain rendezvous hashing selects before this one. */
+    [[nodiscard]] unsigned rankInDomain(std::string_view subject) const;
 
     [[nodiscard]] unsigned instancesInDomain() const
     {
--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -28,7 +28,7 @@
     explicit EjectionFixture(std::size_t upstreams)
         : policy(this->directory, this->counters,
                  {[this](const EjectionChange &change) { this->changes.push_back(change); },
-                  [this](std::string_view) { return this->placesTrials; },
+                  [this](std::string_view) { return this->trialRank; },
                   [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
                       this->told.push_back({upstream, counts});
                   }})
@@ -90,7 +90,7 @@
     Counters counters;
     std::vector<EjectionChange> changes;
     std::vector<std::pair<UpstreamIndex, OutcomeCounts>> told;
-    bool placesTrials = true;
+    unsigned trialRank = 0;
     std::uint64_t revision = 0;
     EjectionPolicy policy;
 };
@@ -393,13 +393,15 @@
 }
 
 // Guards against trials by all instances at the same time.
-TEST_CASE("an instance that does not place the trials waits longer", "[EjectionPolicy]")
+TEST_CASE("the instances of a domain place trials one after the other", "[EjectionPolicy]")
 {
+    const auto [rank, trialAt] = GENERATE(
+        table<unsigned, std::int64_t>({{0, 2'000}, {1, 6'000}, {3, 14'000}, {40, 26'000}}));
     EjectionFixture fixture(10);
-    fixture.placesTrials = false;
+    fixture.trialRank = rank;
     fixture.observeFrom(1, 0, 5, 0);
     fixture.observe(0, 2, 0, 0);
-    CHECK(fixture.trialAt(0) == 6'000);
+    CHECK(fixture.trialAt(0) == trialAt);
 }
 
 // Guards against new flows to an ejected upstream, against flows that are refused because only
--- a/tests/ViewSources.cpp
+++ b/tests/ViewSources.cpp
@@ -166,6 +166,23 @@
     }
 }
 
+// Guards against two instances of a domain that place the trials of an upstream at the same time.
+TEST_CASE("the instances of a domain rank differently for an upstream", "[ViewSources]")
+{
+    for (const std::string subject : {"u-1", "u-2", "u-3", "u-4"}) {
+        std::map<std::string, std::set<unsigned>> ranks;
+        std::map<std::string, unsigned> members;
+        for (const Member &member : deployment()) {
+            ranks[member.domain].insert(settled(member.name).rankInDomain(subject));
+            ++members[member.domain];
+        }
+        for (const auto &[domain, count] : members) {
+            CHECK(ranks[domain].size() == count);
+            CHECK(*ranks[domain].rbegin() == count - 1);
+        }
+    }
+}
+
 // Guards against an instance whose load grows with the number of instances that read from it.
 TEST_CASE("no instance has more than a fixed number of readers", "[ViewSources]")
 {
