--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -85,8 +85,8 @@
     /** \returns all known instances but this one; valid until the next update. */
     [[nodiscard]] std::span<const Member> otherInstances() const { return this->others; }
 
-    /** \returns whether this instance is the one that rendezvous hashing selects in its domain. */
-    [[nodiscard]] bool isSelectedInDomain(std::string_view subject) const;
+    /** \returns how many instances of the domain rendezvous hashing selects before this one. */
+    [[nodiscard]] unsigned rankInDomain(std::string_view subject) const;
 
     [[nodiscard]] unsigned instancesInDomain() const
     {
