Judge an upstream by the requests of its whole domain

Cause: an upstream whose requests hang receives fewer new flows than the others, so the requests estimated from the average hid its failures. A simulated domain of 23 instances also ejected usual upstreams in its first second, when two failures met few requests.

Change: at a reported failure each instance tells its requests to that upstream; after 2 s their sum replaces the estimate. Ejection by shared counts needs three failures, since all instances act on the same counts. Failures replace bare requests in a full message.

Tests: a domain of 23 instances and 40 upstreams (six fail 40 %: found by more than 80 % of the instances within 4 s, others not ejected; a failing service ejects next to nothing), EjectionPolicy.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -389,7 +389,7 @@
     const TimePoint now = this->scheduler.now();
     if (report.reinstated)
         this->ejection.onReportedReturn(upstream, now);
-    if (report.failures > 0)
+    if (report.requests > 0)
         this->ejection.addReported(upstream, {report.failures, report.requests}, now);
     // Later, this instance judges by itself: another one may have missed a return.
     if (report.ejectedMs > 0 && now - this->readyAt < internal::adoptionTime)
--- a/src/ejection/EjectionPolicy.cpp
+++ b/src/ejection/EjectionPolicy.cpp
@@ -11,6 +11,9 @@
 namespace internal {
 
 constexpr std::uint32_t minFailures = 2;
+
+/** All instances of a domain act on the same reports, so a coincidence would affect all of them. */
+constexpr std::uint32_t minSharedFailures = 3;
 constexpr double minFailedShare = 0.1;
 constexpr double serviceShareFactor = 3.0;
 
@@ -20,6 +23,9 @@
 
 constexpr EjectionLimit ejectionLimit{5, 3};
 
+/** Time in which the reports of all instances of a domain arrive. */
+constexpr Duration reportTime = std::chrono::seconds(2);
+
 constexpr Duration firstDelay = std::chrono::seconds(2);
 constexpr unsigned maxLevel = 3; // 16 s.
 constexpr Duration levelRetention = std::chrono::seconds(30);
@@ -84,8 +90,10 @@
     State &state = this->stateOf(upstream);
     state.own.add({failed ? 1U : 0U, 1}, now);
     ++state.untold;
-    if (failed)
-        this->tellFailure(upstream, now);
+    if (failed) {
+        this->noteFailure(upstream, now);
+        this->tell(upstream, true, now);
+    }
     if (this->directory.at(upstream).ejection.ejected)
         this->observeEjected(upstream, failed, now);
     else if (failed)
@@ -97,21 +105,34 @@
     this->stateOf(upstream).reported.add(counts, now);
     if (counts.failures == 0)
         return;
+    this->noteFailure(upstream, now);
+    // The share of the upstream needs the requests of the instances that saw no failure as well.
+    this->tell(upstream, false, now);
     if (this->directory.at(upstream).ejection.ejected)
         this->observeEjected(upstream, true, now);
     else
         this->evaluate(upstream, now);
 }
 
-void EjectionPolicy::tellFailure(UpstreamIndex upstream, TimePoint now)
+void EjectionPolicy::noteFailure(UpstreamIndex upstream, TimePoint now)
+{
+    State &state = this->stateOf(upstream);
+    if (now - state.failedAt > OutcomeWindow::length)
+        state.failingSince = now;
+    state.failedAt = now;
+}
+
+void EjectionPolicy::tell(UpstreamIndex upstream, bool failed, TimePoint now)
 {
     State &state = this->stateOf(upstream);
     const std::uint32_t recent = state.own.total(now).requests;
     const std::uint32_t requests = std::min(std::exchange(state.untold, 0), recent);
+    if (requests == 0)
+        return;
     // An instance that sees most upstreams fail may be at fault itself.
-    if (this->serviceOf(upstream, now).failsAsWhole())
+    if (failed && this->serviceOf(upstream, now).failsAsWhole())
         return;
-    this->hooks.onFailure(upstream, {1, requests});
+    this->hooks.tell(upstream, {failed ? 1U : 0U, requests});
 }
 
 void EjectionPolicy::adopt(UpstreamIndex upstream, Duration delay, TimePoint now)
@@ -195,14 +216,16 @@
     if (view.failsAsWhole())
         return this->reinstateService(service, now);
 
-    // Other instances report only upstreams with failures, so the requests of those that saw none
-    // are estimated.
+    // Other instances tell their requests after the first failure; until then they are estimated.
     const double expected = view.requestsOfOne * this->instancesPerDomain;
-    if (hasReports)
+    const bool complete = now - state.failingSince >= internal::reportTime;
+    if (hasReports && !complete)
         all.requests = std::max(all.requests, static_cast<std::uint32_t>(expected));
     const double serviceShare = view.cautiousShare();
     const bool byOwn = internal::isFailing(own, serviceShare);
-    if (!byOwn && !(hasReports && internal::isFailing(all, serviceShare)))
+    const bool byAll = hasReports && all.failures >= internal::minSharedFailures
+                       && internal::isFailing(all, serviceShare);
+    if (!byOwn && !byAll)
         return;
     if (view.ejected >= view.limit) {
         this->counters.add("ejection_limit");
--- a/src/ejection/EjectionPolicy.h
+++ b/src/ejection/EjectionPolicy.h
@@ -22,9 +22,8 @@
     /** \returns how many instances place the trials of an upstream before this one does. */
     std::function<unsigned(std::string_view upstream)> trialRank;
 
-    /** This instance observed a failure; the counts are those of the upstream since the last one.
-     */
-    std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> onFailure;
+    /** Tells other instances the outcomes of an upstream since the last call. */
+    std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> tell;
 };
 
 /** \brief Ejects upstreams whose requests fail although their connections work.
@@ -75,7 +74,9 @@
         OutcomeWindow reported;
         TimePoint delayEnd{};     //!< End of the delay of the last ejection.
         unsigned level = 0;       //!< Ejections that followed shortly on another one.
-        std::uint32_t untold = 0; //!< Requests since the last call of EjectionHooks::onFailure.
+        std::uint32_t untold = 0; //!< Requests since the last call of EjectionHooks::tell.
+        TimePoint failingSince{}; //!< First failure after a window without any.
+        TimePoint failedAt{};     //!< Last failure.
         bool onTrial = false;     //!< This instance has placed a flow on trial.
         unsigned answers = 0;     //!< Answers in a row after the delay.
     };
@@ -96,7 +97,8 @@
 
     [[nodiscard]] State &stateOf(UpstreamIndex upstream);
     [[nodiscard]] ServiceView serviceOf(UpstreamIndex upstream, TimePoint now);
-    void tellFailure(UpstreamIndex upstream, TimePoint now);
+    void noteFailure(UpstreamIndex upstream, TimePoint now);
+    void tell(UpstreamIndex upstream, bool failed, TimePoint now);
     void observeEjected(UpstreamIndex upstream, bool failed, TimePoint now);
     void evaluate(UpstreamIndex upstream, TimePoint now);
     void eject(UpstreamIndex upstream, EjectionChange change, TimePoint now);
--- a/src/ejection/OutcomeSharing.cpp
+++ b/src/ejection/OutcomeSharing.cpp
@@ -16,7 +16,7 @@
 
 bool hasNews(const OutcomeReport &report)
 {
-    return report.failures > 0 || report.reinstated;
+    return report.requests > 0 || report.reinstated;
 }
 
 } // namespace internal
--- a/src/ejection/UntoldReports.cpp
+++ b/src/ejection/UntoldReports.cpp
@@ -21,8 +21,7 @@
     const auto found = std::ranges::find_if(
         this->entries, [&](const Entry &entry) { return entry.report.flowTag == report.flowTag; });
     if (found == this->entries.end()) {
-        if (this->entries.size() < maxOutcomeReports)
-            this->entries.push_back({report, now});
+        this->addEntry({report, now});
         return;
     }
     OutcomeReport &known = found->report;
@@ -36,6 +35,21 @@
     known.ejectedMs = std::max(known.ejectedMs, report.ejectedMs);
 }
 
+void UntoldReports::addEntry(const Entry &entry)
+{
+    if (this->entries.size() < maxOutcomeReports) {
+        this->entries.push_back(entry);
+        return;
+    }
+    // Requests without a failure only complete what others know.
+    const auto isMinor = [](const Entry &known) {
+        return known.report.failures == 0 && !known.report.reinstated;
+    };
+    const auto replaced = std::ranges::find_if(this->entries, isMinor);
+    if (!isMinor(entry) && replaced != this->entries.end())
+        *replaced = entry;
+}
+
 OutcomeReports UntoldReports::take(TimePoint now)
 {
     this->removeOld(now);
--- a/src/ejection/UntoldReports.h
+++ b/src/ejection/UntoldReports.h
@@ -12,7 +12,7 @@
 class UntoldReports
 {
 public:
-    /** \brief Adds the counts of a report; drops it if there are too many upstreams. */
+    /** \brief Adds the counts of a report; drops one if there are too many upstreams. */
     void add(const OutcomeReport &report, TimePoint now);
 
     /** \returns the reports that are not too old, and removes all. */
@@ -28,6 +28,7 @@
         TimePoint since; //!< When the first of its counts was added.
     };
 
+    void addEntry(const Entry &entry);
     void removeOld(TimePoint now);
 
     std::vector<Entry> entries;
--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -232,6 +232,31 @@
     CHECK(fixture.ejected().contains(0) == row.ejected);
 }
 
+// Guards against a failing upstream that is not recognised since new flows avoid its load, so that
+// it receives fewer requests than others.
+TEST_CASE("the requests of the whole domain decide once they are known", "[EjectionPolicy]")
+{
+    struct Report
+    {
+        int ms;
+        OutcomeCounts counts;
+    };
+    const auto [reports, ejected] = GENERATE(table<std::vector<Report>, bool>({
+        {{{0, {1, 2}}, {300, {0, 3}}, {1'900, {2, 4}}}, false},
+        {{{0, {1, 2}}, {300, {0, 3}}, {2'000, {2, 4}}}, true},
+        {{{0, {1, 2}}, {300, {0, 3}}, {2'000, {1, 4}}}, false},
+        {{{0, {1, 2}}, {300, {0, 40}}, {2'000, {2, 4}}}, false},
+        {{{0, {1, 2}}, {3'900, {2, 4}}}, false},
+    }));
+    EjectionFixture fixture(40);
+    fixture.policy.setInstancesPerDomain(23);
+    for (const Report &report : reports) {
+        fixture.observeFrom(1, 0, 1, report.ms);
+        fixture.policy.addReported(0, report.counts, at(report.ms));
+    }
+    CHECK(fixture.ejected().contains(0) == ejected);
+}
+
 // Guards against an ejection that outlasts its reason, against one that ends by chance, and against
 // an upstream that fails and returns so often that its failures go on.
 TEST_CASE("an ejected upstream returns after three answers in a row", "[EjectionPolicy]")
@@ -328,6 +353,15 @@
         fixture.observe(0, 1, 0, 300);
         CHECK(fixture.told == Told{{0, {1, 4}}, {0, {1, 3}}});
     }
+    SECTION("requests when another instance has seen a failure")
+    {
+        fixture.observe(0, 0, 3, 0);
+        fixture.policy.addReported(0, {0, 5}, at(50));
+        CHECK(fixture.told.empty());
+        fixture.policy.addReported(0, {1, 2}, at(100));
+        fixture.policy.addReported(0, {1, 2}, at(200));
+        CHECK(fixture.told == Told{{0, {0, 3}}});
+    }
     SECTION("old requests do not count")
     {
         fixture.observe(0, 0, 50, 0);
--- a/tests/OutcomeSharing.cpp
+++ b/tests/OutcomeSharing.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -59,7 +60,8 @@
     bool answersWithout = false; //!< Replies at once and with nothing.
     OutcomeReports ejections;
     std::vector<OutcomeReport> received;
-    unsigned requests = 0; //!< Requests of readers.
+    std::function<void(const OutcomeReport &report)> onReport; //!< May be empty.
+    unsigned requests = 0;                                     //!< Requests of readers.
     OutcomeSharing sharing;
 };
 
@@ -136,7 +138,11 @@
                 return ViewSource{Endpoint{1, 1}, false, true};
             },
             [this](const ViewSource &) { return std::make_unique<Link>(*this, *this->parent); },
-            [this](const OutcomeReport &report) { this->received.push_back(report); },
+            [this](const OutcomeReport &report) {
+                this->received.push_back(report);
+                if (this->onReport)
+                    this->onReport(report);
+            },
             [this] {
                 return this->ejections;
             }};
@@ -324,6 +330,15 @@
             untold.add(failure(tag), now);
         CHECK(untold.take(now).size() == maxOutcomeReports);
     }
+    SECTION("failures replace requests without a failure")
+    {
+        for (std::uint32_t tag = 1; tag <= 100; ++tag)
+            untold.add({tag, 0, 3, 0, false}, now);
+        untold.add(failure(200), now);
+        const OutcomeReports reports = untold.take(now);
+        CHECK(reports.size() == maxOutcomeReports);
+        CHECK(std::ranges::count(reports, failure(200)) == 1);
+    }
     SECTION("a return cancels the failures before it")
     {
         untold.add(failure(1), now);
@@ -366,6 +381,140 @@
 
 namespace {
 
+/** \brief An instance of a large domain: its policy and its exchange of reports. */
+struct PolicyNode
+{
+    static constexpr std::size_t upstreams = 40;
+
+    PolicyNode(simulation::EventLoop &loop, Node *parent, unsigned instances)
+        : node(loop, parent)
+        , policy(this->directory, this->counters,
+                 {[](const EjectionChange &) {}, [](std::string_view) { return 0U; },
+                  [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
+                      this->node.sharing.tell({this->directory.at(upstream).flowTag,
+                                               static_cast<std::uint16_t>(counts.failures),
+                                               static_cast<std::uint16_t>(counts.requests), 0,
+                                               false});
+                  }})
+    {
+        for (std::size_t i = 0; i < upstreams; ++i) {
+            UpstreamEntry entry;
+            entry.name = "u-" + std::to_string(i);
+            entry.service = "s1";
+            entry.domain = "a";
+            this->directory.update(std::vector<RegistryChange>{{entry.name, i + 1, entry}},
+                                   loop.now());
+        }
+        this->policy.setInstancesPerDomain(instances);
+        this->node.onReport = [this, &loop](const OutcomeReport &report) {
+            const UpstreamIndex upstream = this->directory.findByTag(report.flowTag);
+            this->policy.addReported(upstream, {report.failures, report.requests}, loop.now());
+        };
+        this->node.sharing.start();
+    }
+
+    [[nodiscard]] bool isEjected(UpstreamIndex upstream) const
+    {
+        return this->directory.at(upstream).ejection.ejected;
+    }
+
+    UpstreamDirectory directory{{}};
+    Counters counters;
+    Node node;
+    EjectionPolicy policy;
+};
+
+/** \brief Instances that read their views in a tree, and their requests. */
+class Domain
+{
+public:
+    static constexpr unsigned instances = 23;
+    static constexpr UpstreamIndex failing = 6; //!< The first upstreams fail 40 % of the requests.
+
+    Domain()
+    {
+        for (unsigned i = 0; i < instances; ++i) {
+            Node *parent = i == 0 ? nullptr : &this->nodes[(i - 1) / 4]->node;
+            this->nodes.push_back(std::make_unique<PolicyNode>(this->loop, parent, instances));
+        }
+        this->loop.runFor(seconds(1));
+    }
+    ~Domain()
+    {
+        while (!this->nodes.empty())
+            this->nodes.pop_back();
+    }
+    Domain(const Domain &) = delete;
+    Domain &operator=(const Domain &) = delete;
+
+    /** \brief Plays 26 requests a second on each instance. */
+    void play(Duration duration, double usualShare, double failingShare)
+    {
+        const TimePoint end = this->loop.now() + duration;
+        while (this->loop.now() < end) {
+            for (int i = 0; i < 3; ++i)
+                this->request(usualShare, failingShare);
+            this->loop.runFor(milliseconds(5));
+        }
+    }
+
+    /** \returns how many instances have ejected the upstreams in the range, on average. */
+    [[nodiscard]] double ejectedOn(UpstreamIndex begin, UpstreamIndex end) const
+    {
+        double sum = 0;
+        for (const auto &node : this->nodes) {
+            for (UpstreamIndex i = begin; i < end; ++i)
+                sum += node->isEjected(i) ? 1 : 0;
+        }
+        return sum / (end - begin);
+    }
+
+private:
+    void request(double usualShare, double failingShare)
+    {
+        std::uniform_real_distribution<double> chance(0.0, 1.0);
+        PolicyNode &node = *this->nodes[this->random() % instances];
+        const auto upstream = static_cast<UpstreamIndex>(this->random() % PolicyNode::upstreams);
+        // Requests that hang keep new flows away, and ejections all but those that are open.
+        if (upstream < failing && failingShare > usualShare && chance(this->random) > 0.4)
+            return;
+        if (node.isEjected(upstream) && chance(this->random) > 0.1)
+            return;
+        const double share = upstream < failing ? failingShare : usualShare;
+        const auto outcome
+            = chance(this->random) < share ? RequestOutcome::Late : RequestOutcome::Answered;
+        node.policy.observe({upstream, {}, outcome, {}}, this->loop.now());
+    }
+
+    simulation::EventLoop loop;
+    std::vector<std::unique_ptr<PolicyNode>> nodes;
+    Random random{11};
+};
+
+} // namespace
+
+// Guards against failing upstreams that the few requests of each instance do not reveal, and
+// against ejections by chance or because a whole service is overloaded.
+TEST_CASE("a domain finds the upstreams that fail 40 % of their requests", "[OutcomeSharing]")
+{
+    Domain domain;
+    SECTION("six of forty fail")
+    {
+        domain.play(seconds(3), 0.005, 0.005);
+        CHECK(domain.ejectedOn(0, PolicyNode::upstreams) < 0.2);
+        domain.play(seconds(4), 0.005, 0.4);
+        CHECK(domain.ejectedOn(0, Domain::failing) > 0.8 * Domain::instances);
+        CHECK(domain.ejectedOn(Domain::failing, PolicyNode::upstreams) < 0.2);
+    }
+    SECTION("the whole service fails")
+    {
+        domain.play(seconds(6), 0.5, 0.5);
+        CHECK(domain.ejectedOn(0, PolicyNode::upstreams) < 0.5);
+    }
+}
+
+namespace {
+
 /** \brief An instance with real connections: its server, and a client to its parent. */
 struct LoopbackNode
 {
