--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -104,7 +104,7 @@
     if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
         result = ProbeResult::Inconclusive;
     if (result == ProbeResult::Refused)
-        this->discardUnprovenRefusals(upstream);
+        this->discardUnprovenRefusals(upstream, now);
     UpstreamHealth &health = this->directory.at(upstream).health;
     const Liveness before = health.liveness();
     bool changed = health.onProbeResult(result, now);
@@ -120,7 +120,7 @@
         this->onProbeFailed(upstream, result, startedAt, now);
 }
 
-void FailureDetector::discardUnprovenRefusals(UpstreamIndex upstream)
+void FailureDetector::discardUnprovenRefusals(UpstreamIndex upstream, TimePoint now)
 {
     Upstream &subject = this->directory.at(upstream);
     const auto since = subject.health.refusedSince();
@@ -133,7 +133,7 @@
     const bool proven = subject.health.isConfirmedDown() || others == 0
                         || this->domains.hasFailedBeside(domain, upstream);
     if (answered || !proven)
-        subject.health.discardRefusals();
+        subject.health.discardRefusals(now);
 }
 
 void FailureDetector::onProbeFailed(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -89,7 +89,7 @@
     [[nodiscard]] bool isReferenceReached(TimePoint startedAt) const;
     void onProbeFailed(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                        TimePoint now);
-    void discardUnprovenRefusals(UpstreamIndex upstream);
+    void discardUnprovenRefusals(UpstreamIndex upstream, TimePoint now);
     void onReachabilityChange(const ReachabilityChange &change, TimePoint now);
     void suspectPending(DomainIndex domain, TimePoint now);
     void clearSuspicions(const ReachabilityChange &change, TimePoint now);
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -124,8 +124,10 @@
     return this->state != before || this->refusals == internal::confirmingRefusals;
 }
 
-void UpstreamHealth::discardRefusals()
+void UpstreamHealth::discardRefusals(TimePoint now)
 {
+    // The process may be gone although that is no proof: it may return as another incarnation.
+    this->recordOutage(Outage::Kind::Refused, now);
     this->refusals = 0;
     this->refusalsDiscarded = true;
 }
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -62,7 +62,7 @@
     bool onProbeResult(ProbeResult result, TimePoint now);
 
     /** \brief Starts the series of refusals anew: the upstream's domain has answered since. */
-    void discardRefusals();
+    void discardRefusals(TimePoint now);
 
     /** \brief Counts the upstream as alive again: its whole domain was out of reach. \returns
      * whether the state changed. */
--- a/src/readiness/DomainReadiness.cpp
+++ b/src/readiness/DomainReadiness.cpp
@@ -61,10 +61,9 @@
 {
     this->active = true;
     const TimePoint now = this->scheduler.now();
-    const bool canServe = internal::mustStay(this->hooks.facts().supply)
-                          || !this->rotation.hasPeer(this->hooks.instances());
-    this->startPending = !canServe;
-    this->holdUntil = canServe ? now + internal::holdAfterStart : now;
+    this->startPending = this->hooks.facts().supply == DomainSupply::OwnUnusable
+                         && this->rotation.hasPeer(this->hooks.instances());
+    this->holdUntil = this->startPending ? now : now + internal::holdAfterStart;
     if (this->startPending)
         this->startRound(now);
     else
--- a/src/readiness/DomainReadiness.h
+++ b/src/readiness/DomainReadiness.h
@@ -54,8 +54,8 @@
     DomainReadiness(const Scheduler &scheduler, const Member &self, Counters &counters, Log &log,
                     DomainReadinessHooks hooks);
 
-    /** \brief The instance has its view. If its domain can serve nothing, it enters rotation only
-     * once another domain was reached: a single restarted instance in rotation would bring all
+    /** \brief The instance has its view. If its domain has no usable upstream, it enters rotation
+     * only once another domain was reached: a single restarted instance in rotation would bring all
      * callers of a domain back that has withdrawn. */
     void start();
 
