--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -408,7 +408,8 @@
 {
     EjectionFixture fixture(3);
     Random random(7);
-    Placement placement(fixture.directory, "a", random);
+    const DomainReachability reachability{{}};
+    Placement placement(fixture.directory, reachability, "a", random);
     PlacementConstraints constraints;
     const auto choose = [&](int ms) {
         return placement.choose("s1", constraints, at(ms));
--- a/tests/LearnedCapacity.cpp
+++ b/tests/LearnedCapacity.cpp
@@ -92,7 +92,7 @@
     {
         Instance(unsigned number, unsigned instances, std::size_t upstreams)
             : random(number + 1)
-            , placement(this->directory, "a", this->random)
+            , placement(this->directory, this->reachability, "a", this->random)
             , learner(this->directory, {})
         {
             std::vector<RegistryEntry> entries;
@@ -111,6 +111,7 @@
         }
 
         UpstreamDirectory directory{{}};
+        DomainReachability reachability{{}};
         Random random;
         Placement placement;
         CapacityLearner learner;
