Adapt the fixture of cold returns to the reference probe hook

The fixture reports the connected reference probe through onReferenceResult; its checks are unchanged.

--- a/tests/ColdReturn.cpp
+++ b/tests/ColdReturn.cpp
@@ -165,9 +165,10 @@
         result.startProbe = [this](UpstreamIndex upstream) {
             this->probes.emplace_back(upstream, this->now);
         };
-        result.startReferenceProbe = [this](UpstreamIndex) {
+        result.startReferenceProbe = [this](UpstreamIndex upstream) {
             if (this->othersReached)
-                this->steering.onReferenceConnected(at(this->now), at(this->now));
+                this->steering.onReferenceResult(upstream, ProbeResult::Connected, at(this->now),
+                                                 at(this->now));
         };
         result.isBudgetSharer = [](std::string_view, unsigned) {
             return true;
