Explain where a new flow would go without placing it

Operators had no way to ask an instance why its new flows go to an upstream, or why they are refused. Placement::explain is a const dry run: it shares assess and scoreOf with choose, which alone adds jitter, refills and takes cold-start budget and starts trials. The directory says why an upstream is no candidate; the cold budget can be read without a change.

--- a/src/balancer.h
+++ b/src/balancer.h
@@ -5,3 +5,4 @@
  */
 #include "balancer/Balancer.h"
 #include "balancer/BalancerOptions.h"
+#include "balancer/InstanceExplanation.h"
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -278,6 +278,28 @@
     return decision;
 }
 
+InstanceExplanation Balancer::explain(Endpoint route, std::optional<Endpoint> caller) const
+{
+    InstanceExplanation result;
+    result.instance = this->options.self.name;
+    result.domain = this->options.self.domain;
+    result.notReadyReason = this->notReadyReason();
+    result.viewAge = this->sourcedStore.age();
+    result.flow.address = route;
+    if (this->ready)
+        result.flow = this->steering.explain(route, caller, this->scheduler.now());
+    return result;
+}
+
+std::string_view Balancer::notReadyReason() const
+{
+    if (!this->ready)
+        return "view_incomplete";
+    if (this->stopping)
+        return "stopping";
+    return this->readiness.isWithdrawn() ? "withdrawn" : "";
+}
+
 void Balancer::logDecision(const SteeringDecision &decision, const FlowPacket &packet,
                            std::span<const std::byte> datagram)
 {
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "balancer/BalancerOptions.h"
+#include "balancer/InstanceExplanation.h"
 #include "base/Counters.h"
 #include "base/Scheduler.h"
 #include "capacity/CapacityLearner.h"
@@ -91,6 +92,9 @@
     [[nodiscard]] SteeringDecision decide(const FlowPacket &packet,
                                           std::span<const std::byte> datagram, TimePoint now);
 
+    /** \returns what this instance would do with a new flow; changes nothing. */
+    [[nodiscard]] InstanceExplanation explain(Endpoint route, std::optional<Endpoint> caller) const;
+
     /** \brief Schedules the next check of overdue answers; call it after each batch of packets. */
     void scheduleTick();
 
@@ -144,6 +148,7 @@
     void connect(Endpoint peer, std::function<void(bool connected)> handler);
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
+    [[nodiscard]] std::string_view notReadyReason() const;
     void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
                      std::span<const std::byte> datagram);
     void onTick();
--- a/src/coldstart/ColdStartBudget.h
+++ b/src/coldstart/ColdStartBudget.h
@@ -25,6 +25,7 @@
     /** \returns whether a new flow is allowed now; if so, consumes a token. */
     bool take(TimePoint now)
     {
+        this->refill(now);
         if (!this->available(now))
             return false;
         if (this->limited)
@@ -32,18 +33,23 @@
         return true;
     }
 
-    [[nodiscard]] bool available(TimePoint now)
+    [[nodiscard]] bool available(TimePoint now) const
     {
-        this->refill(now);
-        return !this->limited || this->tokens >= 1.0;
+        return !this->limited || this->tokensAt(now) >= 1.0;
     }
 
-private:
+    /** \brief Adds the tokens earned by now at the present rate. */
     void refill(TimePoint now)
     {
-        const std::chrono::duration<double> elapsed = now - this->refilledAt;
+        this->tokens = this->tokensAt(now);
         this->refilledAt = now;
-        this->tokens = std::min(1.0, this->tokens + elapsed.count() * this->rate);
+    }
+
+private:
+    [[nodiscard]] double tokensAt(TimePoint now) const
+    {
+        const std::chrono::duration<double> elapsed = now - this->refilledAt;
+        return std::min(1.0, this->tokens + elapsed.count() * this->rate);
     }
 
     bool limited = false;
--- a/src/coldstart/ColdStartPolicy.cpp
+++ b/src/coldstart/ColdStartPolicy.cpp
@@ -60,15 +60,18 @@
 {
     std::erase_if(this->returned, [&](UpstreamIndex index) {
         Upstream &upstream = this->directory.at(index);
-        // Entries that lapsed in an outage of the registry are complete only after its grace
-        // period.
-        const bool complete = registryConfirmedAt >= this->directory.graceEnd();
-        const bool confirmed = upstream.coldReturn && upstream.registered && complete
-                               && upstream.coldReturn->isListedBy(registryConfirmedAt);
-        if (confirmed)
+        if (this->isConfirmed(upstream, registryConfirmedAt))
             upstream.coldReturn.reset();
         return !upstream.coldReturn;
     });
 }
 
+bool ColdStartPolicy::isConfirmed(const Upstream &upstream, TimePoint registryConfirmedAt) const
+{
+    // Entries that lapsed in an outage of the registry are complete only after its grace period.
+    const bool complete = registryConfirmedAt >= this->directory.graceEnd();
+    return upstream.coldReturn && upstream.registered && complete
+           && upstream.coldReturn->isListedBy(registryConfirmedAt);
+}
+
 } // namespace bulrushgap::balance
--- a/src/coldstart/ColdStartPolicy.h
+++ b/src/coldstart/ColdStartPolicy.h
@@ -38,6 +38,9 @@
      */
     void confirmReturned(TimePoint registryConfirmedAt);
 
+    /** \returns whether such an upstream would no longer be cold. */
+    [[nodiscard]] bool isConfirmed(const Upstream &upstream, TimePoint registryConfirmedAt) const;
+
     /** \returns whether upstreams have returned of which it is not known whether they are cold. */
     [[nodiscard]] bool awaitsConfirmation() const { return !this->returned.empty(); }
 
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -236,16 +236,24 @@
         upstream.replaced
             = !upstream.registered && registeredAddresses.contains(upstream.entry.address);
     for (UpstreamIndex index = 0; index < this->upstreams.size(); ++index) {
-        const Upstream &upstream = this->upstreams[index];
-        const bool usable = upstream.registered || this->inGracePeriod.contains(index);
-        if (!usable || upstream.entry.state != UpstreamState::Ready || upstream.tagIsAmbiguous)
-            continue;
-        if (this->isEvacuated(upstream.entry.domain))
-            continue;
-        this->byService[upstream.entry.service].push_back(index);
+        if (this->eligibility(index) == Eligibility::Eligible)
+            this->byService[this->upstreams[index].entry.service].push_back(index);
     }
 }
 
+Eligibility UpstreamDirectory::eligibility(UpstreamIndex index) const
+{
+    const Upstream &upstream = this->upstreams[index];
+    if (!upstream.registered && !this->inGracePeriod.contains(index))
+        return Eligibility::Unregistered;
+    if (upstream.entry.state != UpstreamState::Ready)
+        return Eligibility::Draining;
+    if (upstream.tagIsAmbiguous)
+        return Eligibility::AmbiguousTag;
+    return this->isEvacuated(upstream.entry.domain) ? Eligibility::Evacuated
+                                                    : Eligibility::Eligible;
+}
+
 void UpstreamDirectory::setEvacuated(std::string_view domain, bool isEvacuated)
 {
     if (isEvacuated)
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -44,6 +44,9 @@
 
 [[nodiscard]] std::string_view toString(DirectoryChange::Kind kind);
 
+/** \brief Whether the entry of an upstream allows new flows, or why not. */
+enum class Eligibility { Eligible, Unregistered, Draining, AmbiguousTag, Evacuated };
+
 /** \brief Upstreams by index, flow tag and service, and the evacuated failure domains.
  *
  * A deregistered upstream takes no new flows, but stays known for longer than the longest flow, so
@@ -91,6 +94,9 @@
     /** \returns the upstreams of a service whose entries allow new flows. */
     [[nodiscard]] std::span<const UpstreamIndex> candidates(std::string_view service) const;
 
+    /** \returns whether the upstream is one of the candidates of its service. */
+    [[nodiscard]] Eligibility eligibility(UpstreamIndex index) const;
+
     [[nodiscard]] Upstream &at(UpstreamIndex index) { return this->upstreams[index]; }
     [[nodiscard]] const Upstream &at(UpstreamIndex index) const { return this->upstreams[index]; }
 
--- a/src/placement.h
+++ b/src/placement.h
@@ -4,3 +4,5 @@
  * \brief Module placement: selection of the upstream for a new flow.
  */
 #include "placement/Placement.h"
+#include "placement/PlacementChoice.h"
+#include "placement/PlacementExplanation.h"
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -23,6 +23,9 @@
 constexpr double refusingPenalty = 1'000.0;
 constexpr double maxJitter = 0.01;
 
+/** Learned factor from which an explanation names an upstream slow; half the usual speed. */
+constexpr double slowCapacity = 0.5;
+
 /** An upstream on trial has no load to compare and may be in another domain. */
 constexpr double trialPreference = 2.0;
 
@@ -47,6 +50,15 @@
     return constraints.tried.empty() && upstream.ejection.isTrialDue(constraints.idempotent, now);
 }
 
+/** \brief Makes an upstream the choice if its score is lower. */
+void preferLower(UpstreamIndex index, double score, PlacementChoice &choice)
+{
+    if (choice.upstream != noUpstream && score >= choice.score)
+        return;
+    choice.upstream = index;
+    choice.score = score;
+}
+
 } // namespace internal
 
 Placement::Placement(UpstreamDirectory &directory, const DomainReachability &reachability,
@@ -104,37 +116,152 @@
                          TimePoint now, PlacementChoice &choice)
 {
     Upstream &upstream = this->directory.at(index);
-    if (upstream.health.isConfirmedDown()
-        || this->reachability.isUnreachable(upstream.domainIndex)) {
-        ++choice.unreachable;
+    if (upstream.isCold(now))
+        upstream.coldBudget.refill(now);
+    const Assessment assessment = this->assess(index, upstream, constraints, now);
+    count(assessment, choice);
+    if (assessment.exclusion != Exclusion::None)
         return;
+    std::uniform_real_distribution<double> jitter(0.0, internal::maxJitter);
+    internal::preferLower(index, assessment.score + jitter(this->random), choice);
+}
+
+Placement::Assessment Placement::assess(UpstreamIndex index, const Upstream &upstream,
+                                        const PlacementConstraints &constraints,
+                                        TimePoint now) const
+{
+    Assessment result;
+    if (upstream.health.isConfirmedDown())
+        result.exclusion = Exclusion::ConfirmedDown;
+    else if (this->reachability.isUnreachable(upstream.domainIndex))
+        result.exclusion = Exclusion::DomainUnreachable;
+    if (result.exclusion != Exclusion::None)
+        return result;
+    result.withoutBudget = upstream.isCold(now) && !upstream.coldBudget.available(now);
+    if (result.withoutBudget && !upstream.isProbablyWarm(now)) {
+        result.exclusion = Exclusion::ColdWithoutBudget;
+        return result;
     }
-    const bool withoutBudget = upstream.isCold(now) && !upstream.coldBudget.available(now);
-    if (withoutBudget) {
-        ++choice.withoutBudget;
-        if (!upstream.isProbablyWarm(now))
-            return;
-    }
-    double score = this->scoreOf(upstream, constraints, now);
-    if (withoutBudget)
-        score += internal::coldReturnPenalty;
+    result.score = this->scoreOf(upstream, constraints, now);
+    if (result.withoutBudget)
+        result.score += internal::coldReturnPenalty;
     if (this->wasTried(index, constraints))
-        score += internal::triedPenalty;
-    if (choice.upstream != noUpstream && score >= choice.score)
+        result.score += internal::triedPenalty;
+    return result;
+}
+
+void Placement::count(const Assessment &assessment, PlacementChoice &choice)
+{
+    const bool isUnreachable = assessment.exclusion == Exclusion::ConfirmedDown
+                               || assessment.exclusion == Exclusion::DomainUnreachable;
+    choice.unreachable += isUnreachable ? 1 : 0;
+    choice.withoutBudget += assessment.withoutBudget ? 1 : 0;
+}
+
+PlacementExplanation Placement::explain(std::string_view service,
+                                        const PlacementConstraints &constraints,
+                                        const WarmCheck &isKnownWarm, TimePoint now) const
+{
+    PlacementExplanation result;
+    result.service = service;
+    result.excluded = this->ineligible(service);
+    const auto candidates = this->directory.candidates(service);
+    result.choice.candidates = candidates.size();
+    result.sampled = candidates.size() > internal::maxSamples;
+    for (const UpstreamIndex index : candidates) {
+        Upstream upstream = this->directory.at(index);
+        if (isKnownWarm(upstream))
+            upstream.coldReturn.reset();
+        this->explainCandidate(index, upstream, constraints, now, result);
+    }
+    std::ranges::stable_sort(result.best, {}, &PlacementCandidate::score);
+    result.best.resize(std::min(result.best.size(), PlacementExplanation::maxBest));
+    if (result.choice.upstream != noUpstream)
+        result.choice.isTrial
+            = internal::isTrial(this->directory.at(result.choice.upstream), constraints, now);
+    return result;
+}
+
+void Placement::explainCandidate(UpstreamIndex index, const Upstream &upstream,
+                                 const PlacementConstraints &constraints, TimePoint now,
+                                 PlacementExplanation &result) const
+{
+    const Assessment assessment = this->assess(index, upstream, constraints, now);
+    count(assessment, result.choice);
+    count(assessment, result.excluded);
+    if (assessment.exclusion != Exclusion::None)
         return;
-    choice.upstream = index;
-    choice.score = score;
+    internal::preferLower(index, assessment.score, result.choice);
+    result.best.push_back(this->describe(upstream, assessment.score, now));
+    this->countAvoided(upstream, now, result.avoided);
+    result.avoided.probablyWarm += assessment.withoutBudget ? 1 : 0;
+    result.avoided.triedByThisCaller += this->wasTried(index, constraints) ? 1 : 0;
+}
+
+void Placement::count(const Assessment &assessment, PlacementExclusions &excluded)
+{
+    switch (assessment.exclusion) {
+    case Exclusion::None:
+        break;
+    case Exclusion::ConfirmedDown:
+        ++excluded.confirmedDown;
+        break;
+    case Exclusion::DomainUnreachable:
+        ++excluded.domainUnreachable;
+        break;
+    case Exclusion::ColdWithoutBudget:
+        ++excluded.coldWithoutBudget;
+        break;
+    }
+}
+
+PlacementExclusions Placement::ineligible(std::string_view service) const
+{
+    PlacementExclusions excluded;
+    for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
+        if (this->directory.at(index).entry.service != service)
+            continue;
+        const Eligibility eligibility = this->directory.eligibility(index);
+        excluded.draining += eligibility == Eligibility::Draining ? 1 : 0;
+        excluded.evacuated += eligibility == Eligibility::Evacuated ? 1 : 0;
+        excluded.ambiguousTag += eligibility == Eligibility::AmbiguousTag ? 1 : 0;
+    }
+    return excluded;
+}
+
+void Placement::countAvoided(const Upstream &upstream, TimePoint now,
+                             PlacementAvoidance &avoided) const
+{
+    avoided.ejected += upstream.ejection.ejected ? 1 : 0;
+    avoided.suspect += upstream.health.liveness() != Liveness::Alive ? 1 : 0;
+    avoided.slow += this->capacityOf(upstream, now) <= internal::slowCapacity ? 1 : 0;
+}
+
+PlacementCandidate Placement::describe(const Upstream &upstream, double score, TimePoint now) const
+{
+    return {upstream.entry.name,
+            upstream.entry.domain,
+            score,
+            upstream.outstanding,
+            upstream.openFlows,
+            upstream.entry.slots,
+            this->capacityOf(upstream, now),
+            upstream.health.liveness(),
+            upstream.isCold(now),
+            upstream.ejection.ejected};
+}
+
+double Placement::capacityOf(const Upstream &upstream, TimePoint now) const
+{
+    return this->usesLearnedCapacity ? upstream.capacity.factor(now) : 1.0;
 }
 
 double Placement::scoreOf(const Upstream &upstream, const PlacementConstraints &constraints,
-                          TimePoint now)
+                          TimePoint now) const
 {
-    const double factor = this->usesLearnedCapacity ? upstream.capacity.factor(now) : 1.0;
-    const double slots = std::max(1U, upstream.entry.slots) * factor;
-    std::uniform_real_distribution<double> jitter(0.0, internal::maxJitter);
-    double score = jitter(this->random);
+    const double slots = std::max(1U, upstream.entry.slots) * this->capacityOf(upstream, now);
     const double requests = upstream.outstanding + internal::flowWeight * upstream.openFlows;
-    score += requests * this->instancesPerDomain / slots;
+    double score = requests * this->instancesPerDomain / slots;
     // An idle upstream that is slow still takes longer than an idle one of the usual speed.
     score += 1.0 / slots - 1.0 / std::max(1U, upstream.entry.slots);
     if (upstream.entry.domain != this->domain)
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -2,11 +2,14 @@
 
 #include "base/Time.h"
 #include "directory/UpstreamDirectory.h"
+#include "placement/PlacementChoice.h"
+#include "placement/PlacementExplanation.h"
 #include "reachability/DomainReachability.h"
 #include "steering/FlowTracker.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,17 +24,6 @@
     bool idempotent = true;               //!< The caller may retry its requests.
 };
 
-/** \brief Chosen upstream, with the inputs of the decision for the log. */
-struct PlacementChoice
-{
-    UpstreamIndex upstream = noUpstream;
-    std::size_t candidates = 0;
-    std::size_t withoutBudget = 0; //!< Cold upstreams without budget for a flow now.
-    std::size_t unreachable = 0;   //!< Upstreams confirmed down or in unreachable domains.
-    double score = 0.0;
-    bool isTrial = false; //!< The upstream is ejected and receives the flow to test it.
-};
-
 /** \brief Chooses the upstream of a new flow.
  *
  * Balances load although a long flow is placed only once and an instance sees only the requests of
@@ -48,6 +40,14 @@
     [[nodiscard]] PlacementChoice choose(std::string_view service,
                                          const PlacementConstraints &constraints, TimePoint now);
 
+    /** \returns whether an upstream is known not to be cold, although its state says so. */
+    using WarmCheck = std::function<bool(const Upstream &upstream)>;
+
+    /** \returns what choose would do, without random jitter and with all candidates considered. */
+    [[nodiscard]] PlacementExplanation explain(std::string_view service,
+                                               const PlacementConstraints &constraints,
+                                               const WarmCheck &isKnownWarm, TimePoint now) const;
+
     /** \brief Sets how many instances share the load of a failure domain. */
     void setInstancesPerDomain(unsigned instances) { this->instancesPerDomain = instances; }
 
@@ -55,10 +55,36 @@
     void useLearnedCapacity() { this->usesLearnedCapacity = true; }
 
 private:
+    enum class Exclusion : std::uint8_t {
+        None,
+        ConfirmedDown,
+        DomainUnreachable,
+        ColdWithoutBudget
+    };
+
+    struct Assessment
+    {
+        Exclusion exclusion = Exclusion::None;
+        bool withoutBudget = false;
+        double score = 0.0; //!< Without jitter.
+    };
+
     void consider(UpstreamIndex index, const PlacementConstraints &constraints, TimePoint now,
                   PlacementChoice &choice);
+    [[nodiscard]] Assessment assess(UpstreamIndex index, const Upstream &upstream,
+                                    const PlacementConstraints &constraints, TimePoint now) const;
     [[nodiscard]] double scoreOf(const Upstream &upstream, const PlacementConstraints &constraints,
-                                 TimePoint now);
+                                 TimePoint now) const;
+    [[nodiscard]] double capacityOf(const Upstream &upstream, TimePoint now) const;
+    [[nodiscard]] PlacementCandidate describe(const Upstream &upstream, double score,
+                                              TimePoint now) const;
+    [[nodiscard]] PlacementExclusions ineligible(std::string_view service) const;
+    void explainCandidate(UpstreamIndex index, const Upstream &upstream,
+                          const PlacementConstraints &constraints, TimePoint now,
+                          PlacementExplanation &result) const;
+    static void count(const Assessment &assessment, PlacementChoice &choice);
+    static void count(const Assessment &assessment, PlacementExclusions &excluded);
+    void countAvoided(const Upstream &upstream, TimePoint now, PlacementAvoidance &avoided) const;
     [[nodiscard]] bool wasTried(UpstreamIndex index, const PlacementConstraints &constraints) const;
     [[nodiscard]] bool isInTriedDomain(const Upstream &upstream,
                                        const PlacementConstraints &constraints) const;
--- a/src/steering.h
+++ b/src/steering.h
@@ -4,6 +4,7 @@
  * \brief Module steering: the forwarding decision for each packet of a caller.
  */
 #include "steering/CallerAttempts.h"
+#include "steering/FlowExplanation.h"
 #include "steering/FlowNames.h"
 #include "steering/FlowObserver.h"
 #include "steering/FlowPacket.h"
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -1,6 +1,7 @@
 #include "steering/PacketSteering.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -45,6 +46,22 @@
     return choice.unreachable > 0 ? SteeringReason::AllUnreachable : SteeringReason::NoUpstream;
 }
 
+PlacementConstraints constraintsOf(std::span<const UpstreamIndex> tried)
+{
+    return PlacementConstraints{tried, tried.size() > 1};
+}
+
+/** \returns the services that a new flow of the route may get. */
+std::vector<ServiceShare> possibleServices(const Route &route)
+{
+    std::vector<ServiceShare> services;
+    std::ranges::copy_if(route.services, std::back_inserter(services),
+                         [](const ServiceShare &share) { return share.weight > 0; });
+    if (services.empty())
+        services.push_back(route.services.empty() ? ServiceShare{} : route.services.front());
+    return services;
+}
+
 } // namespace internal
 
 PacketSteering::PacketSteering(SteeringSettings settings, UpstreamDirectory &directory,
@@ -81,6 +98,61 @@
                       : this->decideEstablished(packet, *route, now);
 }
 
+FlowExplanation PacketSteering::explain(Endpoint address, std::optional<Endpoint> caller,
+                                        TimePoint now) const
+{
+    FlowExplanation result;
+    result.address = address;
+    if (!this->routes.isLoaded())
+        return result;
+    result.version = this->routes.version();
+    FlowPacket packet;
+    packet.route = address;
+    packet.syn = true;
+    const Route *route = this->routes.find(address);
+    if (route == nullptr) {
+        result.verdict = this->decideUnrouted(packet).reason;
+        return result;
+    }
+    result.route = route->name;
+    std::vector<UpstreamIndex> tried;
+    if (caller) {
+        packet.caller = *caller;
+        this->addFailedAttempts(packet, now, tried);
+    }
+    PlacementConstraints constraints = internal::constraintsOf(tried);
+    constraints.idempotent = route->kind == RequestKind::Idempotent;
+    result.verdict = SteeringReason::NewFlow;
+    for (const ServiceShare &share : internal::possibleServices(*route)) {
+        result.services.push_back(this->explainService(share, constraints, now));
+        if (result.verdict == SteeringReason::NewFlow)
+            result.verdict = result.services.back().verdict;
+    }
+    return result;
+}
+
+ServiceExplanation PacketSteering::explainService(const ServiceShare &share,
+                                                  const PlacementConstraints &constraints,
+                                                  TimePoint now) const
+{
+    ServiceExplanation result;
+    result.weight = share.weight;
+    result.placement = this->placement.explain(
+        share.service, constraints,
+        [this](const Upstream &upstream) { return this->isConfirmedWarm(upstream); }, now);
+    if (result.placement.choice.upstream == noUpstream)
+        result.verdict = internal::refusalReason(result.placement.choice);
+    return result;
+}
+
+bool PacketSteering::isConfirmedWarm(const Upstream &upstream) const
+{
+    if (!upstream.coldReturn)
+        return false;
+    const auto confirmedAt = this->hooks.registryConfirmedAt();
+    return confirmedAt && this->coldStart.isConfirmed(upstream, *confirmedAt);
+}
+
 SteeringDecision PacketSteering::decideUnrouted(const FlowPacket &packet) const
 {
     if (packet.rst)
@@ -145,13 +217,20 @@
                 this->avoided.push_back(upstream);
         }
     }
+    const std::size_t ownTries = this->avoided.size();
+    this->addFailedAttempts(packet, now, this->avoided);
+    for (std::size_t i = ownTries; i < this->avoided.size(); ++i)
+        this->detector.markSuspect(this->avoided[i], "caller_tries_again", now);
+    return internal::constraintsOf(this->avoided);
+}
+
+void PacketSteering::addFailedAttempts(const FlowPacket &packet, TimePoint now,
+                                       std::vector<UpstreamIndex> &tried) const
+{
     for (const auto &attempt : this->observer.unansweredSyns(packet.caller.address)) {
-        if (!this->hasFailed(attempt, packet, now))
-            continue;
-        this->detector.markSuspect(attempt.upstream, "caller_tries_again", now);
-        this->avoided.push_back(attempt.upstream);
+        if (this->hasFailed(attempt, packet, now))
+            tried.push_back(attempt.upstream);
     }
-    return PlacementConstraints{this->avoided, this->avoided.size() > 1};
 }
 
 bool PacketSteering::hasFailed(const CallerAttempts::Attempt &attempt, const FlowPacket &packet,
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -5,6 +5,7 @@
 #include "directory/UpstreamDirectory.h"
 #include "health/FailureDetector.h"
 #include "placement/Placement.h"
+#include "steering/FlowExplanation.h"
 #include "steering/FlowObserver.h"
 #include "steering/FlowPacket.h"
 #include "steering/SteeringDecision.h"
@@ -77,6 +78,11 @@
 
     [[nodiscard]] SteeringDecision decide(const FlowPacket &packet, TimePoint now);
 
+    /** \returns what decide would do with the SYN of a new flow; changes nothing.
+     * \param caller whose unanswered attempts count; may be empty */
+    [[nodiscard]] FlowExplanation explain(Endpoint route, std::optional<Endpoint> caller,
+                                          TimePoint now) const;
+
     /** \brief Checks overdue answers, starts probes, removes expired flows and upstreams.
      * \returns the time of the next call, or nothing while no answer is expected.
      */
@@ -142,6 +148,12 @@
     [[nodiscard]] std::string_view serviceFor(const Route &route);
     [[nodiscard]] PlacementConstraints constraintsFor(const FlowPacket &packet,
                                                       const FlowState *flow, TimePoint now);
+    void addFailedAttempts(const FlowPacket &packet, TimePoint now,
+                           std::vector<UpstreamIndex> &tried) const;
+    [[nodiscard]] ServiceExplanation explainService(const ServiceShare &share,
+                                                    const PlacementConstraints &constraints,
+                                                    TimePoint now) const;
+    [[nodiscard]] bool isConfirmedWarm(const Upstream &upstream) const;
     [[nodiscard]] bool hasFailed(const CallerAttempts::Attempt &attempt, const FlowPacket &packet,
                                  TimePoint now) const;
     void resetPendingFlows(UpstreamIndex upstream);
