Add the command explain and its endpoint

The balancer answers GET /explain on its readiness address; 'bulrushgap explain' asks one or several instances, prints text or JSON and the fields that differ. The deployed program has the endpoint only.

The command and the endpoint are tested over a loopback HttpServer, because no stand-in serves the users' platform.

--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -19,6 +19,7 @@
     src/role/BalancerCommand.cpp
     src/role/BalancerRole.cpp
     src/role/ConnectionProber.cpp
+    src/role/ExplainEndpoint.cpp
     src/role/PacketPort.cpp
     src/role/PeerViewClient.cpp
     src/role/PeerViewServer.cpp
--- a/src/role.h
+++ b/src/role.h
@@ -5,6 +5,7 @@
  */
 #include "role/ActionRunner.h"
 #include "role/DataSocket.h"
+#include "role/ExplainEndpoint.h"
 #include "role/InstanceRegistration.h"
 #include "role/InstanceRole.h"
 #include "role/ObjectFeed.h"
--- a/src/role/BalancerRole.cpp
+++ b/src/role/BalancerRole.cpp
@@ -1,6 +1,7 @@
 #include "role/BalancerRole.h"
 
 #include "platform/PacketCodec.h"
+#include "role/ExplainEndpoint.h"
 #include "role/PeerViewClient.h"
 #include "service/AsioScheduler.h"
 
@@ -30,7 +31,7 @@
 HttpServerLimits serverLimits()
 {
     HttpServerLimits limits;
-    limits.bodyBytes = 1'024; // Readiness and metrics requests have no body.
+    limits.bodyBytes = 1'024; // Requests to this server have no body.
     return limits;
 }
 
@@ -132,6 +133,11 @@
                                  [this](const HttpRequestView &) { return this->readiness(); });
     this->operationsServer.route("GET", "/metrics",
                                  [this](const HttpRequestView &) { return this->renderMetrics(); });
+    this->operationsServer.route("GET", "/explain", [this](const HttpRequestView &request) {
+        return explainReply(request, [this](Endpoint route, std::optional<Endpoint> caller) {
+            return this->balancer.explain(route, caller);
+        });
+    });
     BOOST_LEAF_CHECK(this->operationsServer.start());
     this->packetPort.open();
     BOOST_LEAF_CHECK(this->viewServer.start());
