Test explain with a running balancer and describe it

The test runs the sockets of BalancerRole against a scripted store and asks it with the command. The route's line no longer has a gap where no route exists, and the settings page names the new use of readyAddress.

--- a/src/app/ExplainOutput.cpp
+++ b/src/app/ExplainOutput.cpp
@@ -139,8 +139,9 @@
         stream << " reason=" << plainText(explanation, "notReadyReason");
     stream << " version=" << plainText(explanation, "version")
            << " view_age_ms=" << plainText(explanation, "viewAgeMs") << '\n';
-    stream << "route " << plainText(explanation, "address") << ' '
-           << plainText(explanation, "route") << ": " << plainText(explanation, "verdict") << '\n';
+    const std::string name = answerText(explanation, "route");
+    stream << "route " << plainText(explanation, "address") << (name.empty() ? "" : " " + name)
+           << ": " << plainText(explanation, "verdict") << '\n';
     for (const boost::json::object &service : answerList(explanation, "services"))
         printService(stream, service);
 }
--- a/src/service/BalancerSettings.cpp
+++ b/src/service/BalancerSettings.cpp
@@ -18,7 +18,7 @@
     {"name", FieldType::Name, "", "", 1, 128, "", "name of the instance, unique in the deployment"},
     {"domain", FieldType::Name, "", "", 1, 128, "", "failure domain of the instance"},
     {"packetAddress", FieldType::Endpoint, "", "", 0, 0, "", "UDP, packets of callers; packets to callers go to its port"},
-    {"readyAddress", FieldType::Endpoint, "", "", 0, 0, "", "TCP, readiness and metrics"},
+    {"readyAddress", FieldType::Endpoint, "", "", 0, 0, "", "TCP, readiness, metrics and explanations of new flows"},
     {"peerAddress", FieldType::Endpoint, "", "", 0, 0, "", "UDP and TCP, messages between instances"},
     {"store", FieldType::Endpoint, "", "", 0, 0, "", "the platform's metadata store"},
     {"seeds", FieldType::EndpointList, "", "[]", 0, 64, "", "peer addresses of instances that are asked for the view at the start"},
--- a/tests/Explain.cpp
+++ b/tests/Explain.cpp
@@ -1,13 +1,17 @@
 #include "Loopback.h"
 #include "app/Commands.h"
 #include "placement.h"
+#include "role/BalancerRole.h"
 #include "role/ExplainEndpoint.h"
 #include "service.h"
 #include "steering.h"
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 
+#include <unistd.h>
+
 #include <functional>
 #include <iostream>
 #include <memory>
@@ -234,6 +238,93 @@
     std::thread thread;
 };
 
+/** \returns a stored object of the platform. */
+std::string object(const std::string &name, const std::string &spec)
+{
+    return R"({"meta":{"name":")" + name + R"(","revision":3},"spec":)" + spec + "}";
+}
+
+/** \returns the objects of a kind that a platform with one ready and one draining upstream lists.
+ */
+std::string objectsOf(const std::string &kind)
+{
+    const std::string upstream
+        = R"({"service":"s1","addr":"127.0.0.1:9","zone":"a","version":"v1",)"
+          R"("slots":2,"slow_start_ms":0,"seq":4,"born":1,"state":")";
+    if (kind == "servers")
+        return object("i-1", upstream + R"(ready"})") + ","
+               + object("i-2", upstream + R"(draining"})");
+    if (kind == "config")
+        return object("main", R"({"version":7,"routes":[{"name":"feed","hostname":"198.18.0.1",)"
+                              R"("path_prefix":"/8443/","route_type":"safe","service":"s1"}],)"
+                              R"("services":[],"limits":{}})");
+    return "";
+}
+
+HttpReply listOf(const std::string &kind)
+{
+    HttpReply reply;
+    reply.body = R"({"as_of":5,"items":[)" + objectsOf(kind) + "]}";
+    return reply;
+}
+
+/** \returns a free port of the loopback address. */
+std::uint16_t freePort()
+{
+    namespace tcp = boost::asio::ip;
+    boost::asio::io_context context;
+    tcp::tcp::acceptor acceptor(context, {tcp::address_v4::loopback(), 0});
+    return acceptor.local_endpoint().port();
+}
+
+/** \brief A BalancerRole with its sockets and a store that lists objectsOf, in another thread. */
+class RunningBalancer
+{
+public:
+    RunningBalancer()
+        : store(this->context, Endpoint{0x7f000001, 0})
+        , pipe(this->context, STDERR_FILENO)
+    {
+        this->store.routeAsync(
+            "GET", "/-/objects/{}",
+            [this](const HttpRequestView &request, const HttpResponder &respond) {
+                if (request.parameter("watch"))
+                    this->watches.push_back(respond);
+                else
+                    respond(listOf(request.captures.front()));
+            });
+        BalancerSettings settings;
+        settings.name = "pattani-1";
+        settings.domain = "a";
+        settings.packetAddress = {0x7f000001, freePort()};
+        settings.readyAddress = {0x7f000001, freePort()};
+        settings.peerAddress = {0x7f000001, freePort()};
+        settings.store = startServer(this->store);
+        settings.flowCapacity = 1'024;
+        this->address = settings.readyAddress.toString();
+        this->role.emplace(this->context, settings, this->pipe);
+        REQUIRE(this->role->start());
+        this->thread = std::thread([this] { this->context.run(); });
+    }
+    ~RunningBalancer()
+    {
+        this->context.stop();
+        this->thread.join();
+    }
+    RunningBalancer(const RunningBalancer &) = delete;
+    RunningBalancer &operator=(const RunningBalancer &) = delete;
+
+    std::string address; //!< For readiness.
+
+private:
+    boost::asio::io_context context{1};
+    std::vector<HttpResponder> watches;
+    HttpServer store;
+    LogPipe pipe;
+    std::optional<BalancerRole> role;
+    std::thread thread;
+};
+
 struct ExplainRun
 {
     int code;
@@ -357,7 +448,12 @@
             {"198.18.0.1:8443", true, {}, 0, "service s1 weight=1: new_flow to other-", ""},
             {"198.18.0.1:8443", true, {"--json"}, 0, R"("verdict":"new_flow")", ""},
             {"198.18.0.1:8443", true, {"--caller", "100.64.0.1:9"}, 0, "avoided: none", ""},
-            {"198.18.0.3:8443", true, {}, 1, ": no_route", "has no such route: no_route"},
+            {"198.18.0.3:8443",
+             true,
+             {},
+             1,
+             "198.18.0.3:8443: no_route",
+             "has no such route: no_route"},
             {"198.18.0.1:8443", false, {}, 5, "ready=false", "is not ready: view_incomplete"},
             {"198.18.0.1", true, {}, 2, "", "option --route needs IP:PORT"},
             {"198.18.0.1:8443", true, {"--caller", "x"}, 2, "", "option --caller needs IP:PORT"},
@@ -375,6 +471,24 @@
     CHECK(result.errors.find(errors) != std::string::npos);
 }
 
+// Guards against an endpoint that is not reachable in the process, or explains another view.
+TEST_CASE("a running balancer explains its view of the store", "[Explain]")
+{
+    RunningBalancer balancer;
+    const std::vector<std::string> arguments{"--instance", balancer.address, "--route",
+                                             "198.18.0.1:8443"};
+    ExplainRun result = run(arguments);
+    for (int i = 0; i < 200 && result.code == 5; ++i) {
+        std::this_thread::sleep_for(milliseconds(10));
+        result = run(arguments);
+    }
+    CAPTURE(result.output, result.errors);
+    CHECK(result.code == 0);
+    CHECK(result.output.starts_with("instance pattani-1 domain=a ready=true version=7 "));
+    CHECK(result.output.find("service s1 weight=1: new_flow to i-1\n") != std::string::npos);
+    CHECK(result.output.find("candidates=1\n  left out: draining=1\n") != std::string::npos);
+}
+
 // Guards against a comparison that misses a difference, or that reports the names of instances.
 TEST_CASE("the command compares two instances", "[Explain]")
 {
