--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -444,7 +444,7 @@
 {
     EjectionFixture fixture(3);
     Random random(7);
-    DomainReachability reachability({});
+    const DomainReachability reachability{{}};
     Placement placement(fixture.directory, reachability, "a", random);
     PlacementConstraints constraints;
     const auto choose = [&](int ms) {
