Describe placement and failure detection as they are now

The class comments dated from before ejection, learned capacity and the check of a whole failure domain. State the score, the last resort, both causes for which refusals are discarded, and the units. No change in behaviour; bulrushgapTests compiles.

--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -25,8 +25,8 @@
 constexpr Duration recentAnswer = std::chrono::milliseconds(200);
 
 /** Callers acknowledge answers this much later than the upstream sent them, so an upstream may
- * become suspect in a partition before the last answer of its domain is seen. */
-constexpr Duration answerTravelTime = std::chrono::milliseconds(200);
+ * become suspect in a partition before the last answer of its domain is recorded. */
+constexpr Duration acknowledgmentDelay = std::chrono::milliseconds(200);
 
 } // namespace internal
 
@@ -282,7 +282,7 @@
 
 void FailureDetector::clearSuspicions(const ReachabilityChange &change, TimePoint now)
 {
-    const TimePoint lost = change.lastAnswer - internal::answerTravelTime;
+    const TimePoint lost = change.lastAnswer - internal::acknowledgmentDelay;
     for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
         Upstream &upstream = this->directory.at(index);
         if (upstream.domainIndex != change.domain)
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -35,7 +35,8 @@
 
     /** The upstream has returned from an outage; may be empty. */
     std::function<void(UpstreamIndex upstream, const Outage &outage, TimePoint now)> onReturn = {};
-    /** A failure domain has become unreachable or reachable. */
+
+    /** A failure domain has become unreachable or reachable; may be empty. */
     std::function<void(const ReachabilityChange &change)> onReachabilityChange = {};
 };
 
@@ -45,7 +46,8 @@
  * cost does not grow with the number of upstreams. A congested link or a slow instance also delays
  * answers; therefore a probe that times out counts only if another upstream, the reference, was
  * reached in the meantime. An overloaded upstream refuses connections; therefore refused probes
- * count only if no upstream of its failure domain answered in the meantime. Performs no I/O.
+ * count only if no upstream of its failure domain answered in the meantime and the probe of another
+ * one has failed as well. Performs no I/O.
  * \sa UpstreamHealth, DomainReachability
  */
 class FailureDetector
@@ -64,6 +66,8 @@
     /** \brief Marks the upstream suspect on evidence other than an overdue answer. */
     void markSuspect(UpstreamIndex upstream, std::string_view evidence, TimePoint now);
 
+    /** \brief Records the result of a probe that FailureDetectorHooks::startProbe started at
+     * \a startedAt. */
     void onProbeResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                        TimePoint now);
 
@@ -75,7 +79,8 @@
      * \returns whether this process was paused, so that a missing answer is no evidence. */
     bool tick(TimePoint now);
 
-    /** \returns when tick must be called next, or nothing while no answer is expected. */
+    /** \returns when tick must be called next, or nothing while no answer is expected, no probe is
+     * due and all failure domains are reachable. */
     [[nodiscard]] std::optional<TimePoint> nextTick() const { return this->checkAt; }
 
     [[nodiscard]] const DomainReachability &reachability() const { return this->domains; }
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -61,11 +61,12 @@
     /** \brief Applies the result of a probe. \returns whether the state changed. */
     bool onProbeResult(ProbeResult result, TimePoint now);
 
-    /** \brief Starts the series of refusals anew: the upstream's domain has answered since. */
+    /** \brief Resets the count of refusals: another upstream of the domain has answered since, or
+     * no probe of another one has failed, so the refusals may be due to overload. */
     void discardRefusals(TimePoint now);
 
-    /** \brief Counts the upstream as alive again: its whole domain was out of reach. \returns
-     * whether the state changed. */
+    /** \brief Marks the upstream alive, as its whole domain was unreachable and no longer is.
+     *  \returns whether the state changed. */
     bool clearSuspicion(TimePoint now);
 
     /** \brief Cancels the expected answer: after a pause of this process, a late answer is no
@@ -94,6 +95,7 @@
     [[nodiscard]] TimePoint suspectedAt() const { return this->suspectSince; }
     [[nodiscard]] unsigned pendingProbeCount() const { return this->pendingProbes; }
 
+    /** \returns whether refusals were discarded since the upstream last became suspect. */
     [[nodiscard]] bool hasDiscardedRefusals() const { return this->refusalsDiscarded; }
 
     /** \returns when the first probe of the current series of refusals ended, if there is one. */
@@ -104,6 +106,8 @@
 
     /** \returns when to probe next, or nothing while the upstream counts as alive. */
     [[nodiscard]] std::optional<TimePoint> probeAt() const { return this->nextProbe; }
+
+    /** \brief Records the start of a probe, and when the next one is due. */
     void probeStarted(TimePoint now);
 
 private:
@@ -120,7 +124,7 @@
     TimePoint suspectSince{};
     TimePoint firstRefusalAt{};
     Duration probeInterval{};
-    bool refusalsDiscarded = false; //!< The domain answered since the upstream became suspect.
+    bool refusalsDiscarded = false; //!< Since the upstream became suspect.
     unsigned pendingProbes = 0;
     unsigned timeouts = 0;       //!< Consecutive probes that timed out.
     unsigned inconclusive = 0;   //!< Consecutive inconclusive probes.
--- a/src/placement/Placement.cpp
+++ b/src/placement/Placement.cpp
@@ -10,9 +10,9 @@
 /** Upstreams sampled for one flow; larger samples barely improve the lowest load found. */
 constexpr std::size_t maxSamples = 24;
 
-// Scores are in requests per slot; penalties outweigh any difference in load.
-constexpr double flowWeight
-    = 0.05; //!< A long-lived flow has a request running only a small part of the time.
+// Scores are in requests per slot; penalties of 50 and more outweigh any usual difference in load.
+/** A long-lived flow has a request running only a small part of the time. */
+constexpr double flowWeight = 0.05;
 constexpr double crossDomainPenalty = 1.0;
 constexpr double slowStartPenalty = 1.0;
 constexpr double ejectedPenalty = 50.0;
@@ -23,7 +23,7 @@
 constexpr double refusingPenalty = 1'000.0;
 constexpr double maxJitter = 0.01;
 
-/** Learned factor from which an explanation names an upstream slow; half the usual speed. */
+/** At this learned factor or below, an explanation counts an upstream as slow. */
 constexpr double slowCapacity = 0.5;
 
 /** An upstream on trial has no load to compare and may be in another domain. */
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -27,9 +27,11 @@
 /** \brief Chooses the upstream of a new flow.
  *
  * Balances load although a long flow is placed only once and an instance sees only the requests of
- * its own flows. Chooses the upstream with the fewest requests and flows per slot, prefers the own
- * failure domain, prefers any upstream that answers to one that does not, and excludes those that
- * are confirmed down or in an unreachable domain.
+ * its own flows. Chooses the upstream with the lowest score: the requests and flows per slot, plus
+ * penalties for another failure domain, a slow start, an ejection, overdue answers and earlier
+ * attempts of the caller. Upstreams that are confirmed down, in an unreachable domain or cold
+ * without budget are excluded, except that one which is cold only after a time-out remains the last
+ * resort. An ejected upstream whose trial is due is preferred.
  */
 class Placement
 {
@@ -37,6 +39,8 @@
     Placement(UpstreamDirectory &directory, const DomainReachability &reachability,
               std::string domain, Random &random);
 
+    /** \brief Chooses an upstream for a new flow; uses its cold-start budget or its trial.
+     *  \returns the choice; its upstream is noUpstream if all candidates are excluded. */
     [[nodiscard]] PlacementChoice choose(std::string_view service,
                                          const PlacementConstraints &constraints, TimePoint now);
 
@@ -51,7 +55,7 @@
     /** \brief Sets how many instances share the load of a failure domain. */
     void setInstancesPerDomain(unsigned instances) { this->instancesPerDomain = instances; }
 
-    /** \brief Weighs slots by what was learned of an upstream's speed. */
+    /** \brief Multiplies slots by the learned capacity factor of the upstream. */
     void useLearnedCapacity() { this->usesLearnedCapacity = true; }
 
 private:
@@ -62,11 +66,12 @@
         ColdWithoutBudget
     };
 
+    /** \brief Whether an upstream can receive a flow, and its score. */
     struct Assessment
     {
         Exclusion exclusion = Exclusion::None;
-        bool withoutBudget = false;
-        double score = 0.0; //!< Without jitter.
+        bool withoutBudget = false; //!< Cold, without budget for a flow now.
+        double score = 0.0;         //!< Requests per slot and penalties, without jitter.
     };
 
     void consider(UpstreamIndex index, const PlacementConstraints &constraints, TimePoint now,
--- a/src/placement/PlacementChoice.h
+++ b/src/placement/PlacementChoice.h
@@ -10,11 +10,11 @@
 struct PlacementChoice
 {
     UpstreamIndex upstream = noUpstream;
-    std::size_t candidates = 0;
+    std::size_t candidates = 0;    //!< Upstreams whose entries allow new flows.
     std::size_t withoutBudget = 0; //!< Cold upstreams without budget for a flow now.
     std::size_t unreachable = 0;   //!< Upstreams confirmed down or in unreachable domains.
-    double score = 0.0;
-    bool isTrial = false; //!< The upstream is ejected and receives the flow to test it.
+    double score = 0.0;            //!< Requests per slot and penalties; the lowest is chosen.
+    bool isTrial = false;          //!< The upstream is ejected and receives the flow to test it.
 };
 
 } // namespace bulrushgap::balance
--- a/src/placement/PlacementExplanation.h
+++ b/src/placement/PlacementExplanation.h
@@ -35,7 +35,7 @@
 {
     std::string upstream;
     std::string domain;
-    double score = 0.0;
+    double score = 0.0;    //!< Requests per slot and penalties, without jitter.
     unsigned requests = 0; //!< Pending requests of this instance.
     unsigned flows = 0;    //!< Flows of this instance.
     unsigned slots = 0;
