Name private members of ejection after what they hold, and complete its comments

Members named untold and functions named tell do not say that reports are pending. Also describe constants without a reason and undocumented members.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -26,6 +26,7 @@
 /** A starting instance adopts the ejections of other instances for this long. */
 constexpr Duration adoptionTime = std::chrono::seconds(5);
 
+/** \returns the number, at most the greatest that a report can hold. */
 std::uint16_t toWire(std::int64_t number)
 {
     return static_cast<std::uint16_t>(
@@ -458,7 +459,7 @@
         this->ejection.onReportedReturn(upstream, now);
     if (report.requests > 0)
         this->ejection.addReported(upstream, {report.failures, report.requests}, now);
-    // Later, this instance judges by itself: another one may have missed a return.
+    // Later, this instance decides from its own outcomes: another one may have missed a return.
     if (report.ejectedMs > 0 && now - this->readyAt < internal::adoptionTime)
         this->ejection.adopt(upstream, std::chrono::milliseconds(report.ejectedMs), now);
 }
--- a/src/ejection/EjectionChange.h
+++ b/src/ejection/EjectionChange.h
@@ -14,8 +14,8 @@
     Shared,      //!< Outcomes of this instance and of others.
     Trial,       //!< Outcomes of requests after the delay of the ejection.
     ServiceWide, //!< The other upstreams of the service fail as well.
-    Expired,     //!< No request was placed on trial for a long time.
-    Told,        //!< Another instance has reported it.
+    Expired,     //!< No trial had an outcome for a long time.
+    Told,        //!< Reported by another instance.
     Count,
 };
 
@@ -29,7 +29,7 @@
     Kind kind = Kind::Ejected;
     UpstreamIndex upstream = noUpstream;
     EjectionEvidence evidence = EjectionEvidence::Own;
-    std::uint32_t failures = 0;
+    std::uint32_t failures = 0; //!< Failed requests among those that the change is based on.
     std::uint32_t requests = 0;
     double serviceShare = 0.0; //!< Failed share of the requests to the service's other upstreams.
     Duration delay{};          //!< Until the first trial.
--- a/src/ejection/EjectionMark.h
+++ b/src/ejection/EjectionMark.h
@@ -4,13 +4,14 @@
 
 namespace bulrushgap::balance {
 
-/** \brief What placement knows of the ejection of an upstream. */
+/** \brief Ejection of an upstream as far as placement uses it. */
 struct EjectionMark
 {
-    /** A caller may not retry the request of a trial on its own if it may run at most once. */
+    /** Trials use requests that run at most once only this much later: their callers can't retry
+     * them. */
     static constexpr Duration runAtMostOnceDelay = std::chrono::seconds(4);
 
-    /** Without an outcome by then, the next trial is placed. */
+    /** After this time without an outcome of a trial, the next one is placed. */
     static constexpr Duration trialTimeout = std::chrono::seconds(2);
 
     bool ejected = false;
--- a/src/ejection/EjectionPolicy.cpp
+++ b/src/ejection/EjectionPolicy.cpp
@@ -10,10 +10,12 @@
 
 namespace internal {
 
+/** A single failure may be due to the request or its caller. */
 constexpr std::uint32_t minFailures = 2;
 
 /** All instances of a domain act on the same reports, so a coincidence would affect all of them. */
 constexpr std::uint32_t minSharedFailures = 3;
+
 constexpr double minFailedShare = 0.1;
 constexpr double serviceShareFactor = 3.0;
 
@@ -21,19 +23,21 @@
 constexpr double serviceWideShare = 1.0 / serviceShareFactor;
 constexpr std::uint32_t minServiceWideRequests = 10;
 
-constexpr EjectionLimit ejectionLimit{5, 3};
+constexpr EjectionLimit ejectionLimit{.divisor = 5, .minUpstreams = 3};
 
 /** Time in which the reports of all instances of a domain arrive. */
 constexpr Duration reportTime = std::chrono::seconds(2);
 
 constexpr Duration firstDelay = std::chrono::seconds(2);
-constexpr unsigned maxLevel = 3; // 16 s.
+constexpr unsigned maxLevel = 3; // A delay of 16 s.
+
+/** A later ejection starts with the first delay again. */
 constexpr Duration levelRetention = std::chrono::seconds(30);
 constexpr unsigned answersToReturn = 3;
 
 /** The next instance places trials after this time if no outcome of one became known. */
 constexpr Duration takeoverDelay = std::chrono::seconds(4);
-constexpr unsigned maxTakeovers = 6; // Below maxWithoutTrial.
+constexpr unsigned maxTakeovers = 6; // 24 s, less than maxWithoutTrial.
 
 /** An ejection without outcomes of trials must not use up the limit. */
 constexpr Duration maxWithoutTrial = std::chrono::seconds(30);
@@ -89,10 +93,10 @@
     const bool failed = observation.outcome != RequestOutcome::Answered;
     State &state = this->stateOf(upstream);
     state.own.add({failed ? 1U : 0U, 1}, now);
-    ++state.untold;
+    ++state.unreported;
     if (failed) {
-        this->noteFailure(upstream, now);
-        this->tell(upstream, true, now);
+        this->recordFailure(upstream, now);
+        this->reportOwn(upstream, true, now);
     }
     if (this->directory.at(upstream).ejection.ejected)
         this->observeEjected(upstream, failed, now);
@@ -105,16 +109,16 @@
     this->stateOf(upstream).reported.add(counts, now);
     if (counts.failures == 0)
         return;
-    this->noteFailure(upstream, now);
+    this->recordFailure(upstream, now);
     // The share of the upstream needs the requests of the instances that saw no failure as well.
-    this->tell(upstream, false, now);
+    this->reportOwn(upstream, false, now);
     if (this->directory.at(upstream).ejection.ejected)
         this->observeEjected(upstream, true, now);
     else
         this->evaluate(upstream, now);
 }
 
-void EjectionPolicy::noteFailure(UpstreamIndex upstream, TimePoint now)
+void EjectionPolicy::recordFailure(UpstreamIndex upstream, TimePoint now)
 {
     State &state = this->stateOf(upstream);
     if (now - state.failedAt > OutcomeWindow::length)
@@ -122,11 +126,11 @@
     state.failedAt = now;
 }
 
-void EjectionPolicy::tell(UpstreamIndex upstream, bool failed, TimePoint now)
+void EjectionPolicy::reportOwn(UpstreamIndex upstream, bool failed, TimePoint now)
 {
     State &state = this->stateOf(upstream);
     const std::uint32_t recent = state.own.total(now).requests;
-    const std::uint32_t requests = std::min(std::exchange(state.untold, 0), recent);
+    const std::uint32_t requests = std::min(std::exchange(state.unreported, 0), recent);
     if (requests == 0)
         return;
     // An instance that sees most upstreams fail may be at fault itself.
@@ -170,7 +174,7 @@
 void EjectionPolicy::observeEjected(UpstreamIndex upstream, bool failed, TimePoint now)
 {
     State &state = this->stateOf(upstream);
-    // Before the end of the delay, the request belongs to a flow that was open before.
+    // Until the delay ends, the request belongs to a flow that was open before the ejection.
     if (now < state.delayEnd)
         return;
     if (failed) {
@@ -216,7 +220,8 @@
     if (view.failsAsWhole())
         return this->reinstateService(service, now);
 
-    // Other instances tell their requests after the first failure; until then they are estimated.
+    // Other instances report their requests after the first failure; until then these are
+    // estimated.
     const double expected = view.requestsOfOne * this->instancesPerDomain;
     const bool complete = now - state.failingSince >= internal::reportTime;
     if (hasReports && !complete)
--- a/src/ejection/EjectionPolicy.h
+++ b/src/ejection/EjectionPolicy.h
@@ -22,7 +22,7 @@
     /** \returns how many instances place the trials of an upstream before this one does. */
     std::function<unsigned(std::string_view upstream)> trialRank;
 
-    /** Tells other instances the outcomes of an upstream since the last call. */
+    /** Sends the outcomes of an upstream since the last call to the other instances. */
     std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> tell;
 };
 
@@ -41,7 +41,7 @@
     /** \brief Adds the outcome of a request that this instance observed. */
     void observe(const RequestObservation &observation, TimePoint now);
 
-    /** \brief Adds outcomes that other instances of the domain observed. */
+    /** \brief Adds outcomes that another instance of the domain observed. */
     void addReported(UpstreamIndex upstream, const OutcomeCounts &counts, TimePoint now);
 
     /** \brief Ejects an upstream for the rest of a delay that another instance has started. */
@@ -68,17 +68,18 @@
     [[nodiscard]] std::size_t ejectedCount() const;
 
 private:
+    /** \brief Record of one upstream. */
     struct State
     {
         OutcomeWindow own;
         OutcomeWindow reported;
-        TimePoint delayEnd{};     //!< End of the delay of the last ejection.
-        unsigned level = 0;       //!< Ejections that followed shortly on another one.
-        std::uint32_t untold = 0; //!< Requests since the last call of EjectionHooks::tell.
-        TimePoint failingSince{}; //!< First failure after a window without any.
-        TimePoint failedAt{};     //!< Last failure.
-        bool onTrial = false;     //!< This instance has placed a flow on trial.
-        unsigned answers = 0;     //!< Answers in a row after the delay.
+        TimePoint delayEnd{};         //!< End of the delay of the last ejection.
+        unsigned level = 0;           //!< Consecutive ejections within 30 s; doubles the delay.
+        std::uint32_t unreported = 0; //!< Requests since the last call of EjectionHooks::tell.
+        TimePoint failingSince{};     //!< First failure after a window without any.
+        TimePoint failedAt{};         //!< Last failure.
+        bool onTrial = false;         //!< This instance has placed a flow on trial.
+        unsigned answers = 0;         //!< Answers in a row after the delay.
     };
 
     /** \brief The other upstreams of the service of one upstream, without ejected ones. */
@@ -86,19 +87,23 @@
     {
         OutcomeCounts own;          //!< Requests that this instance observed.
         double requestsOfOne = 0.0; //!< Requests of this instance to each upstream of its domain.
-        std::size_t ejected = 0;
-        std::size_t limit = 0;
+        std::size_t ejected = 0;    //!< Ejected upstreams of the service, the given one included.
+        std::size_t limit = 0;      //!< How many of the service may be ejected.
 
         /** \returns the failed share, rounded up while few requests are known. */
         [[nodiscard]] double cautiousShare() const;
+
+        /** \returns the failed share; 0 without requests. */
         [[nodiscard]] double share() const;
+
+        /** \returns whether so many requests fail that no upstream can be told from the others. */
         [[nodiscard]] bool failsAsWhole() const;
     };
 
     [[nodiscard]] State &stateOf(UpstreamIndex upstream);
     [[nodiscard]] ServiceView serviceOf(UpstreamIndex upstream, TimePoint now);
-    void noteFailure(UpstreamIndex upstream, TimePoint now);
-    void tell(UpstreamIndex upstream, bool failed, TimePoint now);
+    void recordFailure(UpstreamIndex upstream, TimePoint now);
+    void reportOwn(UpstreamIndex upstream, bool failed, TimePoint now);
     void observeEjected(UpstreamIndex upstream, bool failed, TimePoint now);
     void evaluate(UpstreamIndex upstream, TimePoint now);
     void eject(UpstreamIndex upstream, EjectionChange change, TimePoint now);
--- a/src/ejection/OutcomeParent.cpp
+++ b/src/ejection/OutcomeParent.cpp
@@ -7,7 +7,10 @@
 
 namespace internal {
 
+/** Longest wait of a poll for reports; the parent allows no longer one. */
 constexpr std::chrono::milliseconds parentPollWait{3'000};
+
+/** Interval of the checks for a parent while there is none. */
 constexpr Duration parentCheckInterval = std::chrono::seconds(1);
 
 /** A parent of another version closes the connection at each attempt. */
@@ -29,7 +32,7 @@
         this->source.reset();
         this->client.reset();
         this->connected = false;
-        this->untold.clear();
+        this->pendingReports.clear();
         return this->checkAfter(internal::parentCheckInterval);
     }
     const bool changed = next != this->source;
@@ -55,11 +58,11 @@
     this->polledAt = now;
     if (first) {
         for (const OutcomeReport &report : this->hooks.ejections())
-            this->untold.add(report, now);
+            this->pendingReports.add(report, now);
     }
-    // The first reply shows soon that the other instance exchanges reports.
+    // Without a wait, the first reply soon shows whether the other instance exchanges reports.
     const auto wait = first ? std::chrono::milliseconds(0) : internal::parentPollWait;
-    OutcomeRequest request{this->untold.take(now), wait, true};
+    OutcomeRequest request{this->pendingReports.take(now), wait, true};
     if (!request.reports.empty())
         this->sentAt = now;
     this->client->exchange(request, [this](const auto &reply) { this->onReply(reply); });
@@ -83,7 +86,7 @@
 {
     if (!this->source)
         return;
-    this->untold.add(report, this->scheduler.now());
+    this->pendingReports.add(report, this->scheduler.now());
     if (!this->connected || this->sendTimer)
         return;
     const Duration left = this->sentAt + outcomeReportInterval - this->scheduler.now();
@@ -95,7 +98,7 @@
 {
     this->sendTimer.reset();
     const TimePoint now = this->scheduler.now();
-    const OutcomeReports reports = this->untold.take(now);
+    const OutcomeReports reports = this->pendingReports.take(now);
     if (reports.empty() || !this->client)
         return;
     this->sentAt = now;
--- a/src/ejection/OutcomeParent.h
+++ b/src/ejection/OutcomeParent.h
@@ -55,7 +55,7 @@
     const Scheduler &scheduler;
     OutcomeParentHooks hooks;
     Backoff backoff;
-    UntoldReports untold;
+    UntoldReports pendingReports;
     std::optional<ViewSource> source;
     std::unique_ptr<OutcomeSource> client;
     Scheduler::Timer checkTimer;
--- a/src/ejection/OutcomeReaders.cpp
+++ b/src/ejection/OutcomeReaders.cpp
@@ -7,7 +7,7 @@
 
 namespace internal {
 
-/** A reader's request fails if it is not answered within its wait. */
+/** Longest wait of a request. A reader's request fails if it is not answered within its wait. */
 constexpr std::chrono::milliseconds maxPollWait{3'000};
 
 } // namespace internal
@@ -17,7 +17,7 @@
     const OutcomeReaderId id = ++this->lastId;
     Reader &reader = this->readers[id];
     for (const OutcomeReport &report : first)
-        reader.untold.add(report, this->scheduler.now());
+        reader.pendingReports.add(report, this->scheduler.now());
     return id;
 }
 
@@ -31,7 +31,7 @@
     if (const auto previous = std::exchange(reader.respond, std::move(respond)))
         previous({});
     reader.answerScheduled = false;
-    if (!reader.untold.empty())
+    if (!reader.pendingReports.empty())
         return this->scheduleAnswer(id, reader);
     const auto bounded = std::clamp(wait, outcomeReportInterval, internal::maxPollWait);
     reader.timer = this->scheduler.after(bounded, [this, id] { this->answer(id); });
@@ -42,7 +42,7 @@
     for (auto &[id, reader] : this->readers) {
         if (id == sender)
             continue;
-        reader.untold.add(report, this->scheduler.now());
+        reader.pendingReports.add(report, this->scheduler.now());
         if (reader.respond && !reader.answerScheduled)
             this->scheduleAnswer(id, reader);
     }
@@ -67,7 +67,7 @@
     reader.answeredAt = now;
     const OutcomeResponder respond = std::exchange(reader.respond, {});
     if (respond)
-        respond(reader.untold.take(now)); // May remove the reader.
+        respond(reader.pendingReports.take(now)); // May remove the reader.
 }
 
 } // namespace bulrushgap::balance
--- a/src/ejection/OutcomeReaders.h
+++ b/src/ejection/OutcomeReaders.h
@@ -12,7 +12,7 @@
 
 namespace bulrushgap::balance {
 
-/** \brief Number of an instance that reads its view from this one. */
+/** \brief Identifies an instance that reads its view from this one. */
 using OutcomeReaderId = std::uint64_t;
 
 /** \brief Sends a reply to an OutcomeRequest. */
@@ -29,7 +29,8 @@
         : scheduler(scheduler)
     {}
 
-    /** \param first reports that the new reader receives first */
+    /** \brief Adds a reader.
+     * \param first reports that it receives first */
     [[nodiscard]] OutcomeReaderId add(const OutcomeReports &first);
     void remove(OutcomeReaderId id) { this->readers.erase(id); }
 
@@ -44,7 +45,7 @@
 private:
     struct Reader
     {
-        UntoldReports untold;
+        UntoldReports pendingReports;
         OutcomeResponder respond; //!< Empty while no request is pending.
         Scheduler::Timer timer;
         TimePoint answeredAt{};
--- a/src/ejection/OutcomeReport.h
+++ b/src/ejection/OutcomeReport.h
@@ -9,13 +9,13 @@
 
 namespace bulrushgap::balance {
 
-/** \brief What one instance reports to another about an upstream. */
+/** \brief Outcomes or ejection that one instance reports to another about an upstream. */
 struct OutcomeReport
 {
     std::uint32_t flowTag = 0; //!< Identifies the upstream, as in the packets of its flows.
     std::uint16_t failures = 0;
     std::uint16_t requests = 0;
-    std::uint16_t ejectedMs = 0; //!< Rest of the delay of an ejection in force; 0 if none is told.
+    std::uint16_t ejectedMs = 0; //!< Rest of the delay of an ejection in force; 0 without one.
     bool reinstated = false;     //!< Trials have ended the ejection.
 
     friend bool operator==(const OutcomeReport &, const OutcomeReport &) = default;
--- a/src/ejection/OutcomeSharing.cpp
+++ b/src/ejection/OutcomeSharing.cpp
@@ -14,7 +14,8 @@
     return report;
 }
 
-bool hasNews(const OutcomeReport &report)
+/** \returns whether the report concerns the whole tree, not only the instance it was sent to. */
+bool isForAll(const OutcomeReport &report)
 {
     return report.requests > 0 || report.reinstated;
 }
@@ -36,7 +37,7 @@
     result.ejections = this->hooks.ejections;
     result.onReports = [this](const OutcomeReports &reports) {
         for (const OutcomeReport &report : reports) {
-            if (internal::hasNews(report))
+            if (internal::isForAll(report))
                 this->readers.tell(internal::withoutEjection(report), std::nullopt);
             this->hooks.onReport(report);
         }
@@ -60,7 +61,7 @@
                                OutcomeResponder respond)
 {
     for (const OutcomeReport &report : request.reports) {
-        if (internal::hasNews(report)) {
+        if (internal::isForAll(report)) {
             this->upward.tell(internal::withoutEjection(report));
             this->readers.tell(internal::withoutEjection(report), id);
         }
--- a/src/ejection/OutcomeSharing.h
+++ b/src/ejection/OutcomeSharing.h
@@ -40,14 +40,16 @@
     /** \brief Starts the exchange with the parent. */
     void start();
 
-    /** \brief Reports what this instance observed. */
+    /** \brief Sends a report of this instance to all neighbours. */
     void tell(const OutcomeReport &report);
 
     /** \brief Adds an instance that reads its view from this one. */
     [[nodiscard]] OutcomeReaderId addReader() { return this->readers.add(this->hooks.ejections()); }
+
+    /** \brief Removes a reader whose connection was closed. */
     void removeReader(OutcomeReaderId id) { this->readers.remove(id); }
 
-    /** \brief Takes the reports of a reader and answers it. */
+    /** \brief Distributes the reports of a reader; responds when there are reports for it. */
     void onRequest(OutcomeReaderId id, const OutcomeRequest &request, OutcomeResponder respond);
 
     /** \returns whether reports are exchanged with any other instance. */
--- a/src/ejection/OutcomeWindow.h
+++ b/src/ejection/OutcomeWindow.h
@@ -8,6 +8,7 @@
 
 namespace bulrushgap::balance {
 
+/** \brief Numbers of requests and of the failed ones among them. */
 struct OutcomeCounts
 {
     std::uint32_t failures = 0;
@@ -29,6 +30,8 @@
     static constexpr Duration length = std::chrono::seconds(3);
 
     void add(const OutcomeCounts &counts, TimePoint now);
+
+    /** \returns the counts of the window that ends at \a now. */
     [[nodiscard]] OutcomeCounts total(TimePoint now) const;
     void clear() { this->steps = {}; }
 
@@ -37,7 +40,7 @@
 
     struct Step
     {
-        std::int64_t number = 0; //!< Time of the step, in steps.
+        std::int64_t number = 0; //!< Time since the epoch of the clock, in steps.
         OutcomeCounts counts;
     };
 
--- a/src/ejection/UntoldReports.cpp
+++ b/src/ejection/UntoldReports.cpp
@@ -41,7 +41,7 @@
         this->entries.push_back(entry);
         return;
     }
-    // Requests without a failure only complete what others know.
+    // Requests without a failure only make the failed share of other instances more exact.
     const auto isMinor = [](const Entry &known) {
         return known.report.failures == 0 && !known.report.reinstated;
     };
--- a/src/ejection/UntoldReports.h
+++ b/src/ejection/UntoldReports.h
@@ -15,7 +15,7 @@
     /** \brief Adds the counts of a report; drops one if there are too many upstreams. */
     void add(const OutcomeReport &report, TimePoint now);
 
-    /** \returns the reports that are not too old, and removes all. */
+    /** \returns the reports younger than maxOutcomeReportAge, and removes all. */
     [[nodiscard]] OutcomeReports take(TimePoint now);
 
     [[nodiscard]] bool empty() const { return this->entries.empty(); }
