Clarify comments and private names of reachability and readiness

Private members named after questions and asking now say probes and connections; constants state what they limit. No change in behaviour; bulrushgapTests compiles.

--- a/src/reachability/DomainProbes.h
+++ b/src/reachability/DomainProbes.h
@@ -15,8 +15,8 @@
 class DomainProbes
 {
 public:
-    /** One more than a verdict needs beside a suspect upstream: on a lossy link at least one of
-     * them connects, which rules a partition out. */
+    /** One more than are needed beside a suspect upstream to find a domain unreachable: on a lossy
+     * link at least one of them usually connects, which rules a partition out. */
     static constexpr std::size_t maxNeighbours = DomainReachability::requiredUpstreams;
 
     /** Upstreams of one domain, padded with noUpstream. */
@@ -35,7 +35,7 @@
     [[nodiscard]] UpstreamIndex outside(UpstreamIndex subject);
 
     /** \returns upstreams of the domain of \a subject that have not failed a probe yet; none if it
-     * returned some of this domain a moment ago. */
+     * returned some of this domain less than 100 ms ago. */
     [[nodiscard]] Selection neighbours(UpstreamIndex subject, TimePoint now);
 
     /** \returns the upstream to probe next in an unreachable domain, or noUpstream if it has none.
--- a/src/reachability/DomainReachability.cpp
+++ b/src/reachability/DomainReachability.cpp
@@ -19,7 +19,8 @@
 /** A connected probe shows that this instance was connected for probes started this much later. */
 constexpr Duration connectionValidity = std::chrono::milliseconds(30);
 
-/** A verdict takes 110 ms; without one this instance may be isolated, and no domain is better. */
+/** A probe times out after 110 ms. If the domain is not unreachable by then, this instance may be
+ * isolated, and no domain is better than another. */
 constexpr Duration maxDoubt = std::chrono::milliseconds(200);
 
 } // namespace internal
@@ -38,7 +39,7 @@
     this->recordAnswer(domain, "probe_connected", now);
     Domain &subject = this->entry(domain);
     subject.connectedProbeAt = std::max(subject.connectedProbeAt, startedAt);
-    if (this->inQuestion == 0)
+    if (this->domainsWithFailures == 0)
         return;
     for (std::size_t other = 0; other < this->domains.size(); ++other)
         this->evaluate(static_cast<DomainIndex>(other), now);
@@ -46,7 +47,7 @@
 
 void DomainReachability::onProbesStarted(DomainIndex domain, TimePoint now)
 {
-    this->entry(domain).questionedAt = now;
+    this->entry(domain).probesStartedAt = now;
 }
 
 bool DomainReachability::isInDoubt(DomainIndex domain, TimePoint now) const
@@ -54,8 +55,8 @@
     if (domain >= this->domains.size())
         return false;
     const Domain &subject = this->domains[domain];
-    return subject.questionedAt > subject.answeredAt
-           && now - subject.questionedAt < internal::maxDoubt;
+    return subject.probesStartedAt > subject.answeredAt
+           && now - subject.probesStartedAt < internal::maxDoubt;
 }
 
 void DomainReachability::onProbeFailed(DomainIndex domain, const FailedProbe &probe,
@@ -68,7 +69,7 @@
         this->clearFailures(subject);
     if (subject.failedProbes == 0) {
         subject.firstFailureAt = probe.startedAt;
-        ++this->inQuestion;
+        ++this->domainsWithFailures;
     }
     subject.registered = registered;
     subject.lastFailureAt = std::max(subject.lastFailureAt, probe.startedAt);
@@ -132,7 +133,7 @@
 {
     if (domain.failedProbes == 0)
         return;
-    --this->inQuestion;
+    --this->domainsWithFailures;
     domain.failedProbes = 0;
     domain.failedUpstreams = 0;
     domain.lastFailureAt = TimePoint{};
--- a/src/reachability/DomainReachability.h
+++ b/src/reachability/DomainReachability.h
@@ -18,7 +18,7 @@
     UpstreamIndex upstream = noUpstream;
     ProbeResult result = ProbeResult::TimedOut;
     TimePoint startedAt{};
-    bool isReference = false; //!< Of an upstream that was not suspect itself.
+    bool isReference = false; //!< Whether the upstream was not suspect itself.
 };
 
 /** \brief Change of a domain's reachability, for the log. */
@@ -26,9 +26,9 @@
 {
     DomainIndex domain = 0;
     bool unreachable = false;
-    std::string_view evidence;
-    std::size_t failedUpstreams = 0;
-    TimePoint lastAnswer{}; //!< Before the change.
+    std::string_view evidence;       //!< For the log; a string literal.
+    std::size_t failedUpstreams = 0; //!< Upstreams whose probes failed.
+    TimePoint lastAnswer{};          //!< Before the change.
 };
 
 /** \brief Decides whether each failure domain is reachable from this instance.
@@ -42,7 +42,7 @@
 public:
     using ChangeHandler = std::function<void(const ReachabilityChange &change, TimePoint now)>;
 
-    /** Different upstreams whose probes must have failed; all in a smaller domain. */
+    /** Number of upstreams whose probes must have failed; all of them in a smaller domain. */
     static constexpr std::size_t requiredUpstreams = 3;
 
     explicit DomainReachability(ChangeHandler onChange);
@@ -64,7 +64,7 @@
     /** \brief Makes a domain reachable that has no upstreams left to probe. */
     void onEmpty(DomainIndex domain, TimePoint now);
 
-    /** \brief Discards failed probes: this process was paused. */
+    /** \brief Discards failed probes, which are no evidence after a pause of this process. */
     void discardFailures();
 
     [[nodiscard]] bool isUnreachable(DomainIndex domain) const
@@ -82,6 +82,7 @@
     /** \returns whether a probe of the upstream has failed since the last answer of its domain. */
     [[nodiscard]] bool hasFailed(DomainIndex domain, UpstreamIndex upstream) const;
 
+    /** \returns the last acknowledged answer or connected probe of the domain. */
     [[nodiscard]] TimePoint lastAnswer(DomainIndex domain) const
     {
         return domain < this->domains.size() ? this->domains[domain].answeredAt : TimePoint{};
@@ -100,12 +101,13 @@
     {
         TimePoint answeredAt{};       //!< Last acknowledged answer or connected probe.
         TimePoint connectedProbeAt{}; //!< Start of the latest probe that connected.
-        TimePoint questionedAt{};     //!< When several of its upstreams were probed.
+        TimePoint probesStartedAt{};  //!< When several of its upstreams were probed.
         TimePoint firstFailureAt{};   //!< Start of the first failed probe that counts.
         TimePoint lastFailureAt{};    //!< Start of the last one.
-        std::array<UpstreamIndex, requiredUpstreams> failed{};
+        std::array<UpstreamIndex, requiredUpstreams>
+            failed{}; //!< The first failedUpstreams are set.
         std::size_t failedUpstreams = 0;
-        std::size_t failedProbes = 0; //!< A refused probe counts twice.
+        std::size_t failedProbes = 0; //!< A refusal counts twice: it is not a lost packet.
         std::size_t registered = 0;
         bool referenceFailed = false;
         bool unreachable = false;
@@ -122,8 +124,8 @@
 
     ChangeHandler onChange;
     std::vector<Domain> domains;
-    std::size_t inQuestion = 0;  //!< Domains with failed probes.
-    std::size_t unreachable = 0; //!< Unreachable domains.
+    std::size_t domainsWithFailures = 0; //!< Domains with failed probes since their last answer.
+    std::size_t unreachable = 0;         //!< Unreachable domains.
 };
 
 } // namespace bulrushgap::balance
--- a/src/readiness/DomainReadiness.cpp
+++ b/src/readiness/DomainReadiness.cpp
@@ -9,15 +9,19 @@
 
 using std::chrono::milliseconds;
 
+/** Consecutive failed rounds before a withdrawal. */
 constexpr unsigned roundsToWithdraw = 2;
+
+/** Instances of each other domain that a round connects to. */
 constexpr std::size_t peersPerDomain = 2;
+
 constexpr Duration roundInterval = milliseconds(150);
 constexpr Duration withdrawnRoundInterval = milliseconds(250);
 
-/** Bounds the connections caused by upstreams that turn suspect without a partition. */
+/** Limits the connections caused by upstreams that become suspect without a partition. */
 constexpr Duration minRoundInterval = milliseconds(250);
 
-/** Timeout of a connection attempt. */
+/** Timeout of a connection attempt, as in DomainReadinessHooks::connect. */
 constexpr Duration connectTimeout = milliseconds(110);
 
 /** A timer or a result that is later than this means that the process was paused. */
@@ -33,11 +37,14 @@
 /** Without an answer of another domain for this long, an instance connects to one of them. */
 constexpr Duration maxSilence = milliseconds(500);
 
-/** The first answers of a view may be those of an instance that starts as well. */
+/** No withdrawal this soon after a start: the view may come from an instance that starts as well.
+ */
 constexpr Duration holdAfterStart = std::chrono::seconds(1);
+
+/** No withdrawal this soon after a return to rotation. */
 constexpr Duration holdAfterReturn = std::chrono::seconds(5);
 
-/** Bounds the harm of a wrong verdict. */
+/** Limits the outage that a wrong withdrawal causes. */
 constexpr Duration maxWithdrawal = std::chrono::seconds(20);
 
 /** \returns whether the own domain serves by itself, or the others could serve no better. */
@@ -107,7 +114,7 @@
         this->cancelTimer();
         this->startPending = false;
         this->unresolved = false;
-        this->asked = 0;
+        this->connectionsStarted = 0;
         return;
     }
     if (this->round)
@@ -165,7 +172,7 @@
     this->failedRounds = 0;
     this->startPending = false;
     this->unresolved = false;
-    this->asked = 0;
+    this->connectionsStarted = 0;
 }
 
 std::optional<TimePoint> DomainReadiness::nextRoundAt(const ReadinessFacts &facts,
@@ -206,7 +213,7 @@
 {
     this->cancelTimer();
     this->round = Round{++this->lastRound, now, peers.size(), isSingleCheck};
-    this->asked += peers.size();
+    this->connectionsStarted += peers.size();
     this->counters.add("readiness_connect", peers.size());
     for (const Endpoint peer : peers) {
         this->hooks.connect(peer, [this, number = this->lastRound](bool connected) {
@@ -243,7 +250,7 @@
     if (this->withdrawnAt)
         this->returnToRotation("peer_reached", 1, now);
     else
-        this->asked = 0;
+        this->connectionsStarted = 0;
     this->evaluate();
 }
 
@@ -294,9 +301,9 @@
 {
     this->log.info("readiness", {{"outcome", outcome},
                                  {"reason", reason},
-                                 {"peers_asked", this->asked},
+                                 {"peers_asked", this->connectionsStarted},
                                  {"peers_reached", reached}});
-    this->asked = 0;
+    this->connectionsStarted = 0;
 }
 
 void DomainReadiness::schedule(TimePoint at, TimePoint now)
--- a/src/readiness/DomainReadiness.h
+++ b/src/readiness/DomainReadiness.h
@@ -16,7 +16,7 @@
 
 namespace bulrushgap::balance {
 
-/** \brief What DomainReadiness is told about upstreams and the view. */
+/** \brief State of upstreams and view from which DomainReadiness decides. */
 struct ReadinessFacts
 {
     DomainSupply supply = DomainSupply::Own;
@@ -32,6 +32,7 @@
     /** Connects to an instance with a timeout of 110 ms; calls the handler asynchronously. */
     std::function<void(Endpoint peer, ConnectHandler handler)> connect;
 
+    /** \returns the present state of upstreams and view. */
     std::function<ReadinessFacts()> facts;
 
     /** \returns the known other instances. */
@@ -65,9 +66,10 @@
     /** \brief The view, its source or the liveness of an upstream has changed. */
     void onChange();
 
-    /** \brief An upstream of another domain has turned suspect or worse. */
+    /** \brief An upstream of another domain has become suspect, or a worse state. */
     void onSuspicion();
 
+    /** \returns whether the instance has left rotation. */
     [[nodiscard]] bool isWithdrawn() const { return this->withdrawnAt.has_value(); }
 
     /** \returns whether a starting instance waits for the result of its first rounds. */
@@ -80,7 +82,7 @@
         std::uint64_t number = 0;
         TimePoint startedAt{};
         std::size_t pending = 0;
-        bool isSingleCheck = false; //!< Started by silence alone; asks one instance.
+        bool isSingleCheck = false; //!< Started without a suspicion; connects to one instance.
     };
 
     void evaluate();
@@ -113,13 +115,13 @@
     std::uint64_t lastRound = 0; //!< Number of the last round or single check.
     unsigned failedRounds = 0;   //!< Consecutive failed rounds.
     bool unresolved = false;     //!< A round was discarded, or the other domains are still cut off.
-    std::size_t asked = 0;       //!< Connections since the last success or log line.
+    std::size_t connectionsStarted = 0; //!< Connections since the last success or log line.
     TimePoint lastRoundAt{};
-    TimePoint reachedAt{};
+    TimePoint reachedAt{}; //!< Last connection to an instance of another domain.
     std::optional<TimePoint> suspectedAt;
-    std::optional<TimePoint> withdrawnAt;
-    TimePoint holdUntil{}; //!< No withdrawal before.
-    std::optional<TimePoint> dueAt;
+    std::optional<TimePoint> withdrawnAt; //!< Set while out of rotation.
+    TimePoint holdUntil{};                //!< No withdrawal before.
+    std::optional<TimePoint> dueAt;       //!< When the timer expires; set while it runs.
     Scheduler::Timer timer;
     bool startPending = false; //!< Not in rotation until the first rounds have ended.
     bool active = false;
--- a/src/readiness/DomainUpstreams.h
+++ b/src/readiness/DomainUpstreams.h
@@ -11,7 +11,7 @@
 
 namespace bulrushgap::balance {
 
-/** \brief Which upstreams the services of the configuration's routes have. */
+/** \brief Where the services of the configuration's routes have upstreams. */
 enum class DomainSupply : std::uint8_t {
     Own,         //!< At least one upstream of the own domain may take new flows.
     OwnUnusable, //!< The own domain has upstreams, but all are evacuated, draining or down.
--- a/src/readiness/PeerRotation.h
+++ b/src/readiness/PeerRotation.h
@@ -14,7 +14,7 @@
 
 /** \brief Selects instances of other failure domains in turn.
  *
- * Different instances start at different positions, so that not all ask the same ones.
+ * Different instances start at different positions, so that not all select the same ones.
  */
 class PeerRotation
 {
