State units and meaning of learned capacity and request outcomes

The factor, its range, the median step and the bound of the sample counter had no description. No change in behaviour; bulrushgapTests compiles.

--- a/src/capacity.h
+++ b/src/capacity.h
@@ -1,7 +1,8 @@
 #pragma once
 
 /** \file
- * \brief Module capacity: how much of its slots an upstream uses well, learned from its answers.
+ * \brief Module capacity: speed of each upstream relative to its service, learned from its answer
+ * times.
  */
 #include "capacity/CapacityEstimate.h"
 #include "capacity/CapacityLearner.h"
--- a/src/capacity/CapacityEstimate.cpp
+++ b/src/capacity/CapacityEstimate.cpp
@@ -11,6 +11,7 @@
  * have, must not halve the share of its upstream. */
 constexpr double smoothing = 0.25;
 
+/** Range of the factor; also limits the weight of a single answer. */
 constexpr double minFactor = 0.05;
 constexpr double maxFactor = 2.0;
 
--- a/src/capacity/CapacityEstimate.h
+++ b/src/capacity/CapacityEstimate.h
@@ -16,11 +16,12 @@
     /** \brief Adds an answer that took \a ratio times the usual time of its route. */
     void add(double ratio, TimePoint now);
 
-    /** \returns the share of its slots that the upstream uses well, from 0.05 to 2. */
+    /** \returns the factor by which its slots are multiplied, from 0.05 to 2: the inverse of the
+     * average ratio, 1 at the usual speed. */
     [[nodiscard]] double factor(TimePoint now) const;
 
 private:
-    /** \returns the weight that the estimate still has. */
+    /** \returns the weight that the estimate still has, from 1 to 0. */
     [[nodiscard]] double weightAt(TimePoint now) const;
 
     double slowdown = 0.0; //!< Binary logarithm of the average ratio.
--- a/src/capacity/CapacityLearner.cpp
+++ b/src/capacity/CapacityLearner.cpp
@@ -7,9 +7,10 @@
 
 namespace internal {
 
+/** A change of the factor by this ratio, up or down, is reported. */
 constexpr double reportedChange = 2.0;
 
-/** \returns whether the time of the outcome says how fast the upstream is. */
+/** \returns whether the time of the outcome depends on the speed of the upstream. */
 bool hasServiceTime(RequestOutcome outcome)
 {
     // A refusal is fast whatever the upstream's speed, and an unanswered request has no time.
--- a/src/capacity/CapacityLearner.h
+++ b/src/capacity/CapacityLearner.h
@@ -25,6 +25,7 @@
 public:
     CapacityLearner(UpstreamDirectory &directory, CapacityChangeHandler onChange);
 
+    /** \brief Adds the answer time of a request; refused and unanswered requests have none. */
     void onOutcome(const RequestObservation &observation, TimePoint now);
 
 private:
@@ -35,13 +36,14 @@
     boost::unordered_flat_map<std::uint64_t, UsualTime> byRoute;
 };
 
-/** \brief Learned capacities of the registered upstreams. */
+/** \brief Lowest and mean capacity factor of the registered upstreams. */
 struct CapacitySpread
 {
-    double least = 1.0;
+    double least = 1.0; //!< Lowest factor; at most 1.
     double mean = 1.0;
 };
 
+/** \returns the spread at \a now; both 1 without registered upstreams. */
 [[nodiscard]] CapacitySpread spreadOf(const UpstreamDirectory &directory, TimePoint now);
 
 } // namespace bulrushgap::balance
--- a/src/capacity/UsualTime.cpp
+++ b/src/capacity/UsualTime.cpp
@@ -10,10 +10,15 @@
 /** Answers from which the median is known. */
 constexpr unsigned minSamples = 16;
 
-/** Greatest step of the median at one answer, in powers of two. */
+/** Step of the median at one answer, as a binary logarithm. It shrinks from maxStep with the number
+ * of answers, down to minStep, so that the median still follows a change. */
 constexpr double maxStep = 0.5;
 constexpr double minStep = 0.02;
 
+/** Bounds the counter of answers; by then the step has long been minStep. */
+constexpr unsigned maxSamples = 1'000;
+
+/** \returns the binary logarithm of the time in microseconds. */
 double logarithmOf(Duration time)
 {
     return std::log2(std::max<double>(1.0, static_cast<double>(time.count())));
@@ -31,7 +36,7 @@
     const double sample = internal::logarithmOf(time);
     if (this->samples == 0)
         this->median = sample;
-    this->samples = std::min(this->samples + 1, 1'000U);
+    this->samples = std::min(this->samples + 1, internal::maxSamples);
     const double step = std::max(internal::minStep, internal::maxStep / this->samples);
     this->median += std::clamp(sample - this->median, -step, step);
 }
--- a/src/capacity/UsualTime.h
+++ b/src/capacity/UsualTime.h
@@ -11,6 +11,7 @@
 class UsualTime
 {
 public:
+    /** \brief Adds the time of an answer. */
     void add(Duration time);
 
     /** \returns the ratio of \a time to the usual time; 1 until the usual time is known. */
@@ -19,8 +20,8 @@
 private:
     [[nodiscard]] bool isKnown() const;
 
-    double median = 0.0; //!< Binary logarithm of the time in microseconds.
-    unsigned samples = 0;
+    double median = 0.0;  //!< Binary logarithm of the time in microseconds.
+    unsigned samples = 0; //!< Answers so far, up to a bound.
 };
 
 } // namespace bulrushgap::balance
--- a/src/directory/Configuration.h
+++ b/src/directory/Configuration.h
@@ -31,8 +31,8 @@
     Endpoint address;
     std::vector<ServiceShare> services;
     RequestKind kind = RequestKind::Idempotent;
-    Duration timeout{};    //!< Callers give a request up after this time; 0 if not declared.
-    Duration objective{};  //!< Time in which an answer is to begin; 0 if not declared.
+    Duration timeout{};    //!< Callers abandon a request after this time; 0 if not declared.
+    Duration objective{};  //!< Time within which an answer should start; 0 if not declared.
     unsigned priority = 0; //!< 0 is the highest.
 
     friend bool operator==(const Route &, const Route &) = default;
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -117,7 +117,8 @@
         return;
     const bool wasRegistered = std::exchange(upstream.registered, true);
     this->inGracePeriod.erase(index);
-    // The upstream has registered again, as this or another incarnation: its entry tells all.
+    // The upstream has registered again, as this or another incarnation, so its entry shows whether
+    // it is cold.
     if (!wasRegistered && entry.revision > upstream.revision)
         upstream.coldReturn.reset();
     upstream.revision = entry.revision;
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -94,7 +94,7 @@
     /** \returns the upstreams of a service whose entries allow new flows. */
     [[nodiscard]] std::span<const UpstreamIndex> candidates(std::string_view service) const;
 
-    /** \returns whether the upstream is one of the candidates of its service. */
+    /** \returns whether the upstream is one of the candidates of its service, or why not. */
     [[nodiscard]] Eligibility eligibility(UpstreamIndex index) const;
 
     [[nodiscard]] Upstream &at(UpstreamIndex index) { return this->upstreams[index]; }
--- a/src/outcome/AnswerSizes.h
+++ b/src/outcome/AnswerSizes.h
@@ -24,7 +24,7 @@
     struct Average
     {
         double bytes = 0.0;
-        std::uint32_t samples = 0;
+        std::uint32_t samples = 0; //!< Answers so far, counted until the average is known.
     };
 
     boost::unordered_flat_map<std::uint64_t, Average> byRoute;
--- a/src/outcome/RequestOutcome.h
+++ b/src/outcome/RequestOutcome.h
@@ -21,15 +21,17 @@
 
 [[nodiscard]] std::string_view toString(RequestOutcome outcome);
 
-/** \brief Outcome of one request; each request has at most one. */
+/** \brief Outcome of one request; reported at most once for each. */
 struct RequestObservation
 {
     UpstreamIndex upstream = noUpstream;
     Endpoint route;
     RequestOutcome outcome = RequestOutcome::Answered;
-    Duration time{}; //!< From the request to the begin of its answer, or until now without one.
+    Duration
+        time{}; //!< From the request to the start of its answer, or to this report without one.
 };
 
+/** \brief Called with the outcome of each request. */
 using OutcomeHandler = std::function<void(const RequestObservation &observation)>;
 
 } // namespace bulrushgap::balance
--- a/src/steering/FlowObserver.h
+++ b/src/steering/FlowObserver.h
@@ -23,7 +23,7 @@
     LatencyHandler onHandshake; //!< From a SYN to the caller's acknowledgment of the SYN-ACK.
     LatencyHandler
         onResponse; //!< From a request to the caller's first acknowledgment of the response.
-    OutcomeHandler onOutcome; //!< Outcome of a request that this instance saw begin.
+    OutcomeHandler onOutcome; //!< Outcome of a request whose start this instance forwarded.
 };
 
 /** \brief Infers the state of upstreams from the packets of their callers.
@@ -90,8 +90,7 @@
                         TimePoint now);
     void completeRequest(FlowState &flow);
 
-    /** \brief Reports the outcome of the flow's request, whose answer is complete or not to come.
-     */
+    /** \brief Reports the outcome of the flow's request, whose answer is complete or missing. */
     void endRequest(Endpoint route, FlowState &flow, TimePoint now);
     void report(Endpoint route, const FlowState &flow, RequestOutcome outcome, Duration time);
     void setUpstream(FlowState &flow, UpstreamIndex upstream);
--- a/src/steering/FlowTracker.h
+++ b/src/steering/FlowTracker.h
@@ -39,7 +39,7 @@
     TimePoint synSentAt{};          //!< When the last SYN was forwarded.
     TimePoint requestSentAt{};      //!< When the first packet of the pending request arrived.
     std::uint32_t acknowledged = 0; //!< Highest sequence number that the caller acknowledged.
-    Duration answerTime{};          //!< From the request to the begin of its answer.
+    Duration answerTime{};          //!< From the request to the start of its answer.
     Duration objective{};           //!< Of the route; 0 if it has none.
     std::uint32_t dataEnd = 0;      //!< Sequence number after the caller's last data byte.
     std::uint32_t answerStart = 0;  //!< Acknowledged sequence number when the request was sent.
--- a/src/steering/LateRequests.h
+++ b/src/steering/LateRequests.h
@@ -16,6 +16,7 @@
     /** \brief Called for each request that was pending when it was added and is now due. */
     using DueHandler = std::function<void(const FlowId &flow, TimePoint sentAt)>;
 
+    /** \brief Adds a request that must be answered within \a objective. */
     void add(const FlowId &flow, TimePoint sentAt, Duration objective)
     {
         this->requests.push({sentAt + objective, sentAt, flow});
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -23,7 +23,7 @@
 {
     std::string domain;           //!< Failure domain of this instance.
     std::size_t flowCapacity = 0; //!< Maximum number of tracked flows.
-    bool learnedCapacity = false; //!< Slots are weighed by what was learned of an upstream.
+    bool learnedCapacity = false; //!< Slots are multiplied by the learned capacity of the upstream.
 };
 
 /** \brief Callbacks of PacketSteering. */
@@ -127,9 +127,8 @@
     [[nodiscard]] std::size_t flowCount() const { return this->observer.flowCount(); }
     [[nodiscard]] const PlacementChoice &lastChoice() const { return this->choice; }
 
-    /** \returns the upstream that the last new flow tests; noUpstream if it tests none or was
-     * taken.
-     */
+    /** \returns the ejected upstream on which the last new flow was placed on trial, once;
+     * otherwise noUpstream. */
     [[nodiscard]] UpstreamIndex takeTrial();
 
 private:
