--- a/src/steering.h
+++ b/src/steering.h
@@ -9,6 +9,7 @@
 #include "steering/FlowObserver.h"
 #include "steering/FlowPacket.h"
 #include "steering/FlowTracker.h"
+#include "steering/LateRequests.h"
 #include "steering/PacketSteering.h"
 #include "steering/SequenceNumber.h"
 #include "steering/SteeringDecision.h"
