--- a/src/app/ExplainCommand.cpp
+++ b/src/app/ExplainCommand.cpp
@@ -32,7 +32,7 @@
     return {code, {}};
 }
 
-InstanceAnswer ask(Endpoint instance, const std::string &target)
+InstanceAnswer requestExplanation(Endpoint instance, const std::string &target)
 {
     AdminConnection connection(instance);
     AdminAnswer answer = connection.get(target);
@@ -78,7 +78,7 @@
     ExitCode code = ExitCode::Success;
     std::vector<boost::json::object> answers;
     for (const Endpoint instance : instances) {
-        InstanceAnswer answer = ask(instance, target);
+        InstanceAnswer answer = requestExplanation(instance, target);
         code = std::max(code, answer.code);
         if (!answer.body.empty())
             answers.push_back(std::move(answer.body));
--- a/src/role/ExplainEndpoint.h
+++ b/src/role/ExplainEndpoint.h
@@ -8,6 +8,7 @@
 
 namespace bulrushgap {
 
+/** \brief Explains a new flow to \a route, from \a caller if it is given. */
 using FlowExplainer
     = std::function<balance::InstanceExplanation(Endpoint route, std::optional<Endpoint> caller)>;
 
--- a/src/service/HttpClient.cpp
+++ b/src/service/HttpClient.cpp
@@ -295,7 +295,7 @@
     }
 }
 
-/** \brief Ends a call of the server before; its handler may send calls or destroy the client. */
+/** \brief Ends a call for the replaced server; its handler may send calls or destroy the client. */
 void HttpClientState::failLater(const PendingCallPtr &pending)
 {
     asio::post(this->context, [self = this->shared_from_this(), pending] {
--- a/src/service/HttpClient.h
+++ b/src/service/HttpClient.h
@@ -74,7 +74,7 @@
     /** \brief Sends \a call; \a handler is never called from within this function. */
     void send(HttpCall call, Handler handler);
 
-    /** \brief Replaces the server for later calls; calls sent before fail, with their handlers
+    /** \brief Replaces the server for later calls; pending calls fail, and their handlers are
      * called asynchronously. */
     void setServer(Endpoint server);
 
--- a/src/store/TolerantParse.cpp
+++ b/src/store/TolerantParse.cpp
@@ -249,7 +249,7 @@
     return {std::nullopt, JsonFault{{}, error.message()}};
 }
 
-/** \returns the text between the whitespace around it. */
+/** \returns the text without leading and trailing whitespace. */
 std::string_view trimmed(std::string_view text)
 {
     const std::size_t begin = std::min(text.find_first_not_of(whitespace), text.size());
--- a/src/store/TolerantParse.h
+++ b/src/store/TolerantParse.h
@@ -16,8 +16,8 @@
 
 /** \brief Parses an answer that lists objects, some of which the parser may refuse.
  *
- * An object that is refused costs only itself: what can be read of it remains, and it has
- * unreadableMember. \returns nothing if the text is truncated or is not a JSON object
+ * A refused object does not affect the others: its readable parts remain, and unreadableMember is
+ * added to it. \returns nothing if the text is truncated or is not a JSON object
  */
 [[nodiscard]] std::optional<boost::json::object> parseTolerantly(std::string_view text);
 
