--- a/cmake/Fuzz.cmake
+++ b/cmake/Fuzz.cmake
@@ -5,10 +5,9 @@
 pkg_check_modules(flatbuffers REQUIRED IMPORTED_TARGET flatbuffers)
 
 file(GLOB FUZZED_SOURCES CONFIGURE_DEPENDS platform/*Codec.cpp src/base/*.cpp src/capacity/*.cpp
-     src/coldstart/*.cpp
-     src/directory/*.cpp src/ejection/OutcomeCodec.cpp src/health/*.cpp src/outcome/*.cpp
-     src/placement/*.cpp src/reachability/*.cpp src/steering/*.cpp src/view/ViewCodec.cpp
-     src/view/ViewObject.cpp)
+     src/coldstart/*.cpp src/directory/*.cpp src/ejection/OutcomeCodec.cpp src/health/*.cpp
+     src/outcome/*.cpp src/placement/*.cpp src/reachability/*.cpp src/steering/*.cpp
+     src/view/ViewCodec.cpp src/view/ViewObject.cpp)
 list(APPEND FUZZED_SOURCES src/service/BalancerSettings.cpp src/service/Fault.cpp
      src/service/Field.cpp src/service/SettingsReader.cpp src/service/SettingsView.cpp
      src/store/CallResult.cpp src/store/ObjectStore.cpp src/store/TolerantParse.cpp)
