--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -6,7 +6,7 @@
 
 file(GLOB PLATFORM_SOURCES CONFIGURE_DEPENDS platform/*.cpp src/balancer/*.cpp src/base/*.cpp
      src/capacity/*.cpp src/coldstart/*.cpp src/directory/*.cpp src/ejection/*.cpp
-     src/health/*.cpp src/outcome/*.cpp src/overload/*.cpp src/placement/*.cpp src/reachability/*.cpp
+     src/health/*.cpp src/outcome/*.cpp src/placement/*.cpp src/reachability/*.cpp
      src/readiness/*.cpp src/service/*.cpp src/steering/*.cpp src/view/*.cpp)
 list(FILTER PLATFORM_SOURCES EXCLUDE REGEX "src/service/(Log4cxxSink|InstanceSettings)\\.cpp$")
 add_executable(
--- a/src/app/CommandTable.cpp
+++ b/src/app/CommandTable.cpp
@@ -30,7 +30,7 @@
         Command{"balancer", "runs an instance on the users' platform", runBalancer},
         Command{"check", "checks a settings file or prints the reference of its fields", runCheck},
         Command{"experiment", "plays a deployment with faults in virtual time", runExperiment},
-        Command{"explain", "says where a new flow would go now, and why", runExplain},
+        Command{"explain", "shows where a new flow would go now, and why", runExplain},
         Command{"instance", "runs an instance of the load balancer", runInstance},
         Command{"operate", "operators' command over the administration API", runOperate},
         Command{"standin", "runs a stand-in of an outside system", internal::runStandin},
--- a/src/app/ExplainOutput.cpp
+++ b/src/app/ExplainOutput.cpp
@@ -116,7 +116,7 @@
     if (service.contains("upstream"))
         stream << " to " << plainText(service, "upstream");
     stream << "\n  candidates=" << plainText(service, "candidates") << '\n';
-    stream << "  left out:" << countsText(service, "leftOut") << '\n';
+    stream << "  excluded:" << countsText(service, "excluded") << '\n';
     stream << "  avoided:" << countsText(service, "avoided") << '\n';
     for (const boost::json::object &candidate : answerList(service, "best")) {
         stream << "  " << plainText(candidate, "upstream");
--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -148,9 +148,9 @@
                 return this->sharing.hasNeighbours() ? this->sources.rankInDomain(upstream) : 0U;
             },
             [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
-                this->sharing.tell({this->directory.at(upstream).flowTag,
-                                    internal::toWire(counts.failures),
-                                    internal::toWire(counts.requests), 0, false});
+                this->sharing.report({this->directory.at(upstream).flowTag,
+                                      internal::toWire(counts.failures),
+                                      internal::toWire(counts.requests), 0, false});
             }};
 }
 
@@ -298,6 +298,8 @@
         return "view_incomplete";
     if (this->stopping)
         return "stopping";
+    if (this->readiness.isStarting())
+        return "checking_other_domains";
     return this->readiness.isWithdrawn() ? "withdrawn" : "";
 }
 
@@ -445,7 +447,7 @@
     const bool byOwnTrials = change.kind == EjectionChange::Kind::Reinstated
                              && change.evidence == EjectionEvidence::Trial;
     if (byOwnTrials)
-        this->sharing.tell({this->directory.at(change.upstream).flowTag, 0, 0, 0, true});
+        this->sharing.report({this->directory.at(change.upstream).flowTag, 0, 0, 0, true});
 }
 
 void Balancer::onReport(const OutcomeReport &report)
--- a/src/ejection.h
+++ b/src/ejection.h
@@ -14,4 +14,4 @@
 #include "ejection/OutcomeReport.h"
 #include "ejection/OutcomeSharing.h"
 #include "ejection/OutcomeWindow.h"
-#include "ejection/UntoldReports.h"
+#include "ejection/PendingReports.h"
--- a/src/ejection/EjectionChange.h
+++ b/src/ejection/EjectionChange.h
@@ -15,7 +15,7 @@
     Trial,       //!< Outcomes of requests after the delay of the ejection.
     ServiceWide, //!< The other upstreams of the service fail as well.
     Expired,     //!< No trial had an outcome for a long time.
-    Told,        //!< Reported by another instance.
+    Reported,    //!< Reported by another instance.
     Count,
 };
 
--- a/src/ejection/EjectionPolicy.cpp
+++ b/src/ejection/EjectionPolicy.cpp
@@ -136,7 +136,7 @@
     // An instance that sees most upstreams fail may be at fault itself.
     if (failed && this->serviceOf(upstream, now).failsAsWhole())
         return;
-    this->hooks.tell(upstream, {failed ? 1U : 0U, requests});
+    this->hooks.report(upstream, {failed ? 1U : 0U, requests});
 }
 
 void EjectionPolicy::adopt(UpstreamIndex upstream, Duration delay, TimePoint now)
@@ -150,14 +150,14 @@
         return;
     }
     EjectionChange change;
-    change.evidence = EjectionEvidence::Told;
+    change.evidence = EjectionEvidence::Reported;
     this->startDelay(upstream, delay, change, now);
 }
 
 void EjectionPolicy::onReportedReturn(UpstreamIndex upstream, TimePoint now)
 {
     if (this->directory.at(upstream).ejection.ejected)
-        this->reinstate(upstream, EjectionEvidence::Told, now);
+        this->reinstate(upstream, EjectionEvidence::Reported, now);
 }
 
 void EjectionPolicy::visitEjected(
--- a/src/ejection/EjectionPolicy.h
+++ b/src/ejection/EjectionPolicy.h
@@ -23,7 +23,7 @@
     std::function<unsigned(std::string_view upstream)> trialRank;
 
     /** Sends the outcomes of an upstream since the last call to the other instances. */
-    std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> tell;
+    std::function<void(UpstreamIndex upstream, const OutcomeCounts &counts)> report;
 };
 
 /** \brief Ejects upstreams whose requests fail although their connections work.
@@ -75,7 +75,7 @@
         OutcomeWindow reported;
         TimePoint delayEnd{};         //!< End of the delay of the last ejection.
         unsigned level = 0;           //!< Consecutive ejections within 30 s; doubles the delay.
-        std::uint32_t unreported = 0; //!< Requests since the last call of EjectionHooks::tell.
+        std::uint32_t unreported = 0; //!< Requests since the last call of EjectionHooks::report.
         TimePoint failingSince{};     //!< First failure after a window without any.
         TimePoint failedAt{};         //!< Last failure.
         bool onTrial = false;         //!< This instance has placed a flow on trial.
@@ -96,7 +96,7 @@
         /** \returns the failed share; 0 without requests. */
         [[nodiscard]] double share() const;
 
-        /** \returns whether so many requests fail that no upstream can be told from the others. */
+        /** \returns whether so many requests fail that no upstream stands out from the others. */
         [[nodiscard]] bool failsAsWhole() const;
     };
 
--- a/src/ejection/OutcomeParent.cpp
+++ b/src/ejection/OutcomeParent.cpp
@@ -7,9 +7,6 @@
 
 namespace internal {
 
-/** Longest wait of a poll for reports; the parent allows no longer one. */
-constexpr std::chrono::milliseconds parentPollWait{3'000};
-
 /** Interval of the checks for a parent while there is none. */
 constexpr Duration parentCheckInterval = std::chrono::seconds(1);
 
@@ -61,7 +58,7 @@
             this->pendingReports.add(report, now);
     }
     // Without a wait, the first reply soon shows whether the other instance exchanges reports.
-    const auto wait = first ? std::chrono::milliseconds(0) : internal::parentPollWait;
+    const auto wait = first ? std::chrono::milliseconds(0) : outcomePollWait;
     OutcomeRequest request{this->pendingReports.take(now), wait, true};
     if (!request.reports.empty())
         this->sentAt = now;
@@ -82,7 +79,7 @@
     this->hooks.onReports(*reply);
 }
 
-void OutcomeParent::tell(const OutcomeReport &report)
+void OutcomeParent::report(const OutcomeReport &report)
 {
     if (!this->source)
         return;
--- a/src/ejection/OutcomeParent.h
+++ b/src/ejection/OutcomeParent.h
@@ -2,7 +2,7 @@
 
 #include "base/Scheduler.h"
 #include "ejection/OutcomeReport.h"
-#include "ejection/UntoldReports.h"
+#include "ejection/PendingReports.h"
 #include "service/Backoff.h"
 #include "view/ViewSource.h"
 
@@ -40,7 +40,7 @@
     void start() { this->check(); }
 
     /** \brief Adds a report for the parent. */
-    void tell(const OutcomeReport &report);
+    void report(const OutcomeReport &report);
 
     /** \returns whether the parent has answered the last request. */
     [[nodiscard]] bool isConnected() const { return this->connected; }
@@ -55,7 +55,7 @@
     const Scheduler &scheduler;
     OutcomeParentHooks hooks;
     Backoff backoff;
-    UntoldReports pendingReports;
+    PendingReports pendingReports;
     std::optional<ViewSource> source;
     std::unique_ptr<OutcomeSource> client;
     Scheduler::Timer checkTimer;
--- a/src/ejection/OutcomeReaders.cpp
+++ b/src/ejection/OutcomeReaders.cpp
@@ -5,13 +5,6 @@
 
 namespace bulrushgap::balance {
 
-namespace internal {
-
-/** Longest wait of a request. A reader's request fails if it is not answered within its wait. */
-constexpr std::chrono::milliseconds maxPollWait{3'000};
-
-} // namespace internal
-
 OutcomeReaderId OutcomeReaders::add(const OutcomeReports &first)
 {
     const OutcomeReaderId id = ++this->lastId;
@@ -33,11 +26,11 @@
     reader.answerScheduled = false;
     if (!reader.pendingReports.empty())
         return this->scheduleAnswer(id, reader);
-    const auto bounded = std::clamp(wait, outcomeReportInterval, internal::maxPollWait);
+    const auto bounded = std::clamp(wait, outcomeReportInterval, outcomePollWait);
     reader.timer = this->scheduler.after(bounded, [this, id] { this->answer(id); });
 }
 
-void OutcomeReaders::tell(const OutcomeReport &report, std::optional<OutcomeReaderId> sender)
+void OutcomeReaders::report(const OutcomeReport &report, std::optional<OutcomeReaderId> sender)
 {
     for (auto &[id, reader] : this->readers) {
         if (id == sender)
--- a/src/ejection/OutcomeReaders.h
+++ b/src/ejection/OutcomeReaders.h
@@ -2,7 +2,7 @@
 
 #include "base/Scheduler.h"
 #include "ejection/OutcomeReport.h"
-#include "ejection/UntoldReports.h"
+#include "ejection/PendingReports.h"
 
 #include <chrono>
 #include <cstdint>
@@ -38,14 +38,14 @@
     void poll(OutcomeReaderId id, std::chrono::milliseconds wait, OutcomeResponder respond);
 
     /** \brief Adds a report for all readers but \a sender. */
-    void tell(const OutcomeReport &report, std::optional<OutcomeReaderId> sender);
+    void report(const OutcomeReport &report, std::optional<OutcomeReaderId> sender);
 
     [[nodiscard]] bool empty() const { return this->readers.empty(); }
 
 private:
     struct Reader
     {
-        UntoldReports pendingReports;
+        PendingReports pendingReports;
         OutcomeResponder respond; //!< Empty while no request is pending.
         Scheduler::Timer timer;
         TimePoint answeredAt{};
--- a/src/ejection/OutcomeReport.h
+++ b/src/ejection/OutcomeReport.h
@@ -29,6 +29,9 @@
 /** \brief Minimum interval between two messages of reports from one instance to another. */
 constexpr std::chrono::milliseconds outcomeReportInterval{250};
 
+/** \brief Longest wait of a poll for reports; it fails if it is not answered within its wait. */
+constexpr std::chrono::milliseconds outcomePollWait{3'000};
+
 /** \brief Time after which reports are too old to be passed on. */
 constexpr std::chrono::seconds maxOutcomeReportAge{3};
 
--- a/src/ejection/OutcomeSharing.cpp
+++ b/src/ejection/OutcomeSharing.cpp
@@ -26,7 +26,7 @@
                                OutcomeSharingHooks hooks)
     : hooks(std::move(hooks))
     , readers(scheduler)
-    , upward(scheduler, random, this->parentHooks())
+    , parent(scheduler, random, this->parentHooks())
 {}
 
 OutcomeParentHooks OutcomeSharing::parentHooks()
@@ -38,7 +38,7 @@
     result.onReports = [this](const OutcomeReports &reports) {
         for (const OutcomeReport &report : reports) {
             if (internal::isForAll(report))
-                this->readers.tell(internal::withoutEjection(report), std::nullopt);
+                this->readers.report(internal::withoutEjection(report), std::nullopt);
             this->hooks.onReport(report);
         }
     };
@@ -48,13 +48,13 @@
 void OutcomeSharing::start()
 {
     if (!std::exchange(this->started, true))
-        this->upward.start();
+        this->parent.start();
 }
 
-void OutcomeSharing::tell(const OutcomeReport &report)
+void OutcomeSharing::report(const OutcomeReport &report)
 {
-    this->upward.tell(report);
-    this->readers.tell(report, std::nullopt);
+    this->parent.report(report);
+    this->readers.report(report, std::nullopt);
 }
 
 void OutcomeSharing::onRequest(OutcomeReaderId id, const OutcomeRequest &request,
@@ -62,8 +62,8 @@
 {
     for (const OutcomeReport &report : request.reports) {
         if (internal::isForAll(report)) {
-            this->upward.tell(internal::withoutEjection(report));
-            this->readers.tell(internal::withoutEjection(report), id);
+            this->parent.report(internal::withoutEjection(report));
+            this->readers.report(internal::withoutEjection(report), id);
         }
         this->hooks.onReport(report);
     }
--- a/src/ejection/OutcomeSharing.h
+++ b/src/ejection/OutcomeSharing.h
@@ -41,7 +41,7 @@
     void start();
 
     /** \brief Sends a report of this instance to all neighbours. */
-    void tell(const OutcomeReport &report);
+    void report(const OutcomeReport &report);
 
     /** \brief Adds an instance that reads its view from this one. */
     [[nodiscard]] OutcomeReaderId addReader() { return this->readers.add(this->hooks.ejections()); }
@@ -55,7 +55,7 @@
     /** \returns whether reports are exchanged with any other instance. */
     [[nodiscard]] bool hasNeighbours() const
     {
-        return this->upward.isConnected() || !this->readers.empty();
+        return this->parent.isConnected() || !this->readers.empty();
     }
 
 private:
@@ -63,7 +63,7 @@
 
     OutcomeSharingHooks hooks;
     OutcomeReaders readers;
-    OutcomeParent upward;
+    OutcomeParent parent;
     bool started = false;
 };
 
--- a/src/ejection/UntoldReports.cpp
+++ b/src/ejection/PendingReports.cpp
@@ -1,4 +1,4 @@
-#include "ejection/UntoldReports.h"
+#include "ejection/PendingReports.h"
 
 #include <algorithm>
 #include <limits>
@@ -15,7 +15,7 @@
 
 } // namespace internal
 
-void UntoldReports::add(const OutcomeReport &report, TimePoint now)
+void PendingReports::add(const OutcomeReport &report, TimePoint now)
 {
     this->removeOld(now);
     const auto found = std::ranges::find_if(
@@ -35,7 +35,7 @@
     known.ejectedMs = std::max(known.ejectedMs, report.ejectedMs);
 }
 
-void UntoldReports::addEntry(const Entry &entry)
+void PendingReports::addEntry(const Entry &entry)
 {
     if (this->entries.size() < maxOutcomeReports) {
         this->entries.push_back(entry);
@@ -50,7 +50,7 @@
         *replaced = entry;
 }
 
-OutcomeReports UntoldReports::take(TimePoint now)
+OutcomeReports PendingReports::take(TimePoint now)
 {
     this->removeOld(now);
     OutcomeReports reports;
@@ -60,7 +60,7 @@
     return reports;
 }
 
-void UntoldReports::removeOld(TimePoint now)
+void PendingReports::removeOld(TimePoint now)
 {
     std::erase_if(this->entries,
                   [&](const Entry &entry) { return now - entry.since > maxOutcomeReportAge; });
--- a/src/ejection/UntoldReports.h
+++ b/src/ejection/PendingReports.h
@@ -9,7 +9,7 @@
 namespace bulrushgap::balance {
 
 /** \brief Reports that one other instance has not received yet, one for each upstream. */
-class UntoldReports
+class PendingReports
 {
 public:
     /** \brief Adds the counts of a report; drops one if there are too many upstreams. */
--- a/src/placement/Placement.h
+++ b/src/placement/Placement.h
@@ -5,7 +5,6 @@
 #include "placement/PlacementChoice.h"
 #include "placement/PlacementExplanation.h"
 #include "reachability/DomainReachability.h"
-#include "steering/FlowTracker.h"
 
 #include <cstddef>
 #include <cstdint>
--- a/src/role/ExplainEndpoint.cpp
+++ b/src/role/ExplainEndpoint.cpp
@@ -50,7 +50,7 @@
     }
     object["candidates"] = placement.choice.candidates;
     object["sampled"] = placement.sampled;
-    object["leftOut"] = toJson(placement.excluded);
+    object["excluded"] = toJson(placement.excluded);
     object["avoided"] = toJson(placement.avoided);
     boost::json::array best;
     for (const balance::PlacementCandidate &candidate : placement.best)
--- a/tests/EjectionPolicy.cpp
+++ b/tests/EjectionPolicy.cpp
@@ -30,7 +30,7 @@
                  {[this](const EjectionChange &change) { this->changes.push_back(change); },
                   [this](std::string_view) { return this->trialRank; },
                   [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
-                      this->told.push_back({upstream, counts});
+                      this->reported.push_back({upstream, counts});
                   }})
     {
         for (std::size_t i = 0; i < upstreams; ++i)
@@ -89,7 +89,7 @@
     }};
     Counters counters;
     std::vector<EjectionChange> changes;
-    std::vector<std::pair<UpstreamIndex, OutcomeCounts>> told;
+    std::vector<std::pair<UpstreamIndex, OutcomeCounts>> reported;
     unsigned trialRank = 0;
     std::uint64_t revision = 0;
     EjectionPolicy policy;
@@ -342,38 +342,38 @@
 // fault of its own that reports it as one of the upstreams.
 TEST_CASE("an instance tells failures with the requests since the last one", "[EjectionPolicy]")
 {
-    using Told = std::vector<std::pair<UpstreamIndex, OutcomeCounts>>;
+    using Reported = std::vector<std::pair<UpstreamIndex, OutcomeCounts>>;
     EjectionFixture fixture(10);
     SECTION("requests since the last failure")
     {
         fixture.observe(0, 0, 3, 0);
         fixture.observe(0, 1, 0, 100);
         fixture.observe(0, 0, 2, 200);
-        CHECK(fixture.told == Told{{0, {1, 4}}});
+        CHECK(fixture.reported == Reported{{0, {1, 4}}});
         fixture.observe(0, 1, 0, 300);
-        CHECK(fixture.told == Told{{0, {1, 4}}, {0, {1, 3}}});
+        CHECK(fixture.reported == Reported{{0, {1, 4}}, {0, {1, 3}}});
     }
     SECTION("requests when another instance has seen a failure")
     {
         fixture.observe(0, 0, 3, 0);
         fixture.policy.addReported(0, {0, 5}, at(50));
-        CHECK(fixture.told.empty());
+        CHECK(fixture.reported.empty());
         fixture.policy.addReported(0, {1, 2}, at(100));
         fixture.policy.addReported(0, {1, 2}, at(200));
-        CHECK(fixture.told == Told{{0, {0, 3}}});
+        CHECK(fixture.reported == Reported{{0, {0, 3}}});
     }
     SECTION("old requests do not count")
     {
         fixture.observe(0, 0, 50, 0);
         fixture.observe(0, 1, 0, 9'000);
-        CHECK(fixture.told == Told{{0, {1, 1}}});
+        CHECK(fixture.reported == Reported{{0, {1, 1}}});
     }
     SECTION("nothing while most upstreams fail")
     {
         fixture.observeFrom(1, 2, 1, 0);
-        fixture.told.clear();
+        fixture.reported.clear();
         fixture.observe(0, 1, 0, 0);
-        CHECK(fixture.told.empty());
+        CHECK(fixture.reported.empty());
     }
 }
 
@@ -385,7 +385,7 @@
     fixture.policy.adopt(0, milliseconds(1'500), at(0));
     CHECK(fixture.ejected() == std::set<UpstreamIndex>{0});
     CHECK(fixture.trialAt(0) == 1'500);
-    CHECK(fixture.changes.back().evidence == EjectionEvidence::Told);
+    CHECK(fixture.changes.back().evidence == EjectionEvidence::Reported);
     SECTION("the share of a service that is ejected stays bounded")
     {
         fixture.policy.adopt(1, milliseconds(1'500), at(0));
@@ -398,7 +398,7 @@
         fixture.policy.adopt(0, milliseconds(9'000), at(10));
         CHECK(fixture.trialAt(0) == 1'500);
     }
-    SECTION("it is told to the next instance with the rest of its delay")
+    SECTION("it is reported to the next instance with the rest of its delay")
     {
         std::vector<std::pair<UpstreamIndex, Duration>> seen;
         const auto visit = [&](UpstreamIndex upstream, Duration delay) {
--- a/tests/Explain.cpp
+++ b/tests/Explain.cpp
@@ -486,7 +486,7 @@
     CHECK(result.code == 0);
     CHECK(result.output.starts_with("instance pattani-1 domain=a ready=true version=7 "));
     CHECK(result.output.find("service s1 weight=1: new_flow to i-1\n") != std::string::npos);
-    CHECK(result.output.find("candidates=1\n  left out: draining=1\n") != std::string::npos);
+    CHECK(result.output.find("candidates=1\n  excluded: draining=1\n") != std::string::npos);
 }
 
 // Guards against a comparison that misses a difference, or that reports the names of instances.
@@ -512,7 +512,7 @@
         const ExplainRun result = run(arguments);
         INFO(result.output);
         CHECK(result.code == 0);
-        CHECK(result.output.find("  services.s1.leftOut.evacuated: 0 3\n") != std::string::npos);
+        CHECK(result.output.find("  services.s1.excluded.evacuated: 0 3\n") != std::string::npos);
         CHECK(result.output.find("  services.s1.upstream: other-1 usable\n") != std::string::npos);
         CHECK(result.output.find("  services.s1.best.other-1: listed -\n") != std::string::npos);
         CHECK(result.output.find("  instance:") == std::string::npos);
--- a/tests/OutcomeSharing.cpp
+++ b/tests/OutcomeSharing.cpp
@@ -207,7 +207,7 @@
     Tree tree;
     for (std::size_t node = 0; node < treeSize; ++node) {
         for (int i = 0; i < 5; ++i)
-            tree.at(node).sharing.tell(failure(static_cast<std::uint32_t>(node + 1)));
+            tree.at(node).sharing.report(failure(static_cast<std::uint32_t>(node + 1)));
     }
     tree.loop.runFor(seconds(2));
     for (std::size_t node = 0; node < treeSize; ++node) {
@@ -223,7 +223,7 @@
 TEST_CASE("a report crosses the tree within a second", "[OutcomeSharing]")
 {
     Tree tree;
-    tree.at(3).sharing.tell(failure(9));
+    tree.at(3).sharing.report(failure(9));
     tree.loop.runFor(milliseconds(1'000));
     CHECK(toString(tree.countsOf(6, 9)) == toString(OutcomeCounts{1, 3}));
 }
@@ -240,7 +240,7 @@
 
     const unsigned calm = tree.at(0).requests;
     for (int ms = 0; ms < 10'000; ms += 5) {
-        tree.at(3).sharing.tell(failure(static_cast<std::uint32_t>(ms % 100 + 1)));
+        tree.at(3).sharing.report(failure(static_cast<std::uint32_t>(ms % 100 + 1)));
         tree.loop.runFor(milliseconds(5));
     }
     // Four reports and four replies a second on each of the two links to the root.
@@ -258,8 +258,8 @@
     Tree tree;
     tree.at(1).reachable = false;
     tree.loop.runFor(seconds(4));
-    tree.at(3).sharing.tell(failure(7));
-    tree.at(0).sharing.tell(failure(8));
+    tree.at(3).sharing.report(failure(7));
+    tree.at(0).sharing.report(failure(8));
     tree.loop.runFor(seconds(1));
     CHECK(toString(tree.countsOf(6, 7)) == toString(OutcomeCounts{}));
     CHECK(toString(tree.countsOf(6, 8)) == toString(OutcomeCounts{1, 3}));
@@ -268,7 +268,7 @@
     tree.at(1).reachable = true;
     tree.loop.runFor(seconds(20));
     CHECK(toString(tree.countsOf(6, 7)) == toString(OutcomeCounts{}));
-    tree.at(3).sharing.tell(failure(10));
+    tree.at(3).sharing.report(failure(10));
     tree.loop.runFor(seconds(1));
     CHECK(toString(tree.countsOf(6, 10)) == toString(OutcomeCounts{1, 3}));
 }
@@ -287,13 +287,13 @@
     child.sharing.start();
     loop.runFor(seconds(30));
     CHECK(root.requests <= 30 * 4 + 1);
-    child.sharing.tell(failure(7));
+    child.sharing.report(failure(7));
     loop.runFor(seconds(1));
     CHECK(root.received.empty());
 }
 
 // Guards against a restarted instance that sends new flows to upstreams which all others avoid.
-TEST_CASE("a new neighbour is told the ejections in force", "[OutcomeSharing]")
+TEST_CASE("a new neighbour receives the ejections in force", "[OutcomeSharing]")
 {
     simulation::EventLoop loop;
     Node root(loop, nullptr);
@@ -315,7 +315,7 @@
 TEST_CASE("reports are summed and bounded", "[OutcomeSharing]")
 {
     const TimePoint now{seconds(1'000)};
-    UntoldReports untold;
+    PendingReports untold;
     SECTION("sums")
     {
         untold.add(failure(1, 2), now);
@@ -391,10 +391,10 @@
         , policy(this->directory, this->counters,
                  {[](const EjectionChange &) {}, [](std::string_view) { return 0U; },
                   [this](UpstreamIndex upstream, const OutcomeCounts &counts) {
-                      this->node.sharing.tell({this->directory.at(upstream).flowTag,
-                                               static_cast<std::uint16_t>(counts.failures),
-                                               static_cast<std::uint16_t>(counts.requests), 0,
-                                               false});
+                      this->node.sharing.report({this->directory.at(upstream).flowTag,
+                                                 static_cast<std::uint16_t>(counts.failures),
+                                                 static_cast<std::uint16_t>(counts.requests), 0,
+                                                 false});
                   }})
     {
         for (std::size_t i = 0; i < upstreams; ++i) {
@@ -572,12 +572,12 @@
         return first.received == root.ejections && second.received == root.ejections;
     }));
     for (std::uint32_t tag = 1; tag <= maxOutcomeReports; ++tag)
-        first.sharing.tell(failure(tag));
+        first.sharing.report(failure(tag));
     REQUIRE(runUntil(context, [&] {
         return root.received.size() >= maxOutcomeReports
                && second.received.size() > maxOutcomeReports;
     }));
-    second.sharing.tell({9, 0, 0, 0, true});
+    second.sharing.report({9, 0, 0, 0, true});
     REQUIRE(runUntil(context, [&] { return first.received.size() == 2; }));
     CHECK(first.received.back() == OutcomeReport{9, 0, 0, 0, true});
     CHECK(root.received.size() == maxOutcomeReports + 1);
