Treat all upstreams of a domain that was lost as perhaps cold

Reachability finds a lost domain after probes of a few of its upstreams and declares the rest alive again at its return, so most had no outage on record and counted as warm.

Change: when a domain is reachable again, each of its registered upstreams returns from an outage; refused if one of the domain refused connections, timed out otherwise. Services without a cold rate are not concerned.

--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -283,6 +283,7 @@
 void FailureDetector::clearSuspicions(const ReachabilityChange &change, TimePoint now)
 {
     const TimePoint lost = change.lastAnswer - internal::acknowledgmentDelay;
+    this->reportDomainReturn(change.domain, lost, now);
     for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
         Upstream &upstream = this->directory.at(index);
         if (upstream.domainIndex != change.domain)
@@ -297,6 +298,25 @@
     }
 }
 
+void FailureDetector::reportDomainReturn(DomainIndex domain, TimePoint lost, TimePoint now)
+{
+    if (!this->hooks.onReturn)
+        return;
+    // Most upstreams of the domain were never probed one by one. Their processes may have ended
+    // like those whose hosts refused connections, and the registry may not have told it yet.
+    Outage outage{Outage::Kind::TimedOut, lost, now};
+    for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
+        const Upstream &upstream = this->directory.at(index);
+        if (upstream.domainIndex == domain && upstream.health.liveness() == Liveness::Refusing)
+            outage.kind = Outage::Kind::Refused;
+    }
+    for (UpstreamIndex index = 0; index < this->directory.size(); ++index) {
+        const Upstream &upstream = this->directory.at(index);
+        if (upstream.domainIndex == domain && upstream.registered)
+            this->hooks.onReturn(index, outage, now);
+    }
+}
+
 void FailureDetector::checkUnreachableDomains(TimePoint now)
 {
     if (this->domainCheckAt && now >= *this->domainCheckAt) {
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -97,6 +97,7 @@
     void discardUnprovenRefusals(UpstreamIndex upstream, TimePoint now);
     void onReachabilityChange(const ReachabilityChange &change, TimePoint now);
     void suspectPending(DomainIndex domain, TimePoint now);
+    void reportDomainReturn(DomainIndex domain, TimePoint lost, TimePoint now);
     void clearSuspicions(const ReachabilityChange &change, TimePoint now);
     void checkUnreachableDomains(TimePoint now);
     [[nodiscard]] bool needsNoProbe(const Upstream &upstream) const;
