Use one key of an endpoint for hash tables

The address and port of a route were packed into a number in RouteTable, AnswerSizes, CapacityLearner and twice in the model's Fabric. Endpoint::key serves them all; the numbers are the same.

--- a/src/base/Endpoint.h
+++ b/src/base/Endpoint.h
@@ -17,6 +17,13 @@
 
     friend constexpr auto operator<=>(const Endpoint &, const Endpoint &) = default;
 
+    /** \returns a number that no other endpoint has, as key of hash tables. */
+    [[nodiscard]] constexpr std::uint64_t key() const
+    {
+        constexpr unsigned portBits = 16;
+        return (std::uint64_t{this->address} << portBits) | this->port;
+    }
+
     /** \returns the text form "a.b.c.d:port". */
     [[nodiscard]] std::string toString() const;
 
--- a/src/capacity/CapacityLearner.cpp
+++ b/src/capacity/CapacityLearner.cpp
@@ -28,8 +28,7 @@
 {
     if (!internal::hasServiceTime(observation.outcome))
         return;
-    const Endpoint &route = observation.route;
-    UsualTime &usual = this->byRoute[(std::uint64_t{route.address} << 16U) | route.port];
+    UsualTime &usual = this->byRoute[observation.route.key()];
     usual.add(observation.time);
     this->directory.at(observation.upstream).capacity.add(usual.ratioOf(observation.time), now);
     this->reportChange(observation.upstream, now);
--- a/src/directory/RouteTable.cpp
+++ b/src/directory/RouteTable.cpp
@@ -13,15 +13,9 @@
  * most. */
 constexpr std::size_t maxHistoryEntries = 8'192;
 
-std::uint64_t addressKey(Endpoint address)
-{
-    constexpr unsigned portBits = 16;
-    return (static_cast<std::uint64_t>(address.address) << portBits) | address.port;
-}
-
 std::uint64_t servedKey(Endpoint address, std::string_view service)
 {
-    return KeyedHash(addressKey(address))(service);
+    return KeyedHash(address.key())(service);
 }
 
 } // namespace internal
@@ -33,7 +27,7 @@
     boost::unordered_flat_map<std::uint64_t, std::size_t> index;
     index.reserve(next->routes.size());
     for (std::size_t i = 0; i < next->routes.size(); ++i)
-        index.emplace(internal::addressKey(next->routes[i].address), i);
+        index.emplace(next->routes[i].address.key(), i);
     for (const auto &[key, position] : this->byAddress) {
         if (!index.contains(key))
             this->removed.insert(key);
@@ -62,13 +56,13 @@
 
 const Route *RouteTable::find(Endpoint address) const
 {
-    const auto found = this->byAddress.find(internal::addressKey(address));
+    const auto found = this->byAddress.find(address.key());
     return found == this->byAddress.end() ? nullptr : &this->current->routes[found->second];
 }
 
 bool RouteTable::wasRemoved(Endpoint address) const
 {
-    return this->removed.contains(internal::addressKey(address));
+    return this->removed.contains(address.key());
 }
 
 bool RouteTable::everServed(Endpoint address, std::string_view service) const
--- a/src/outcome/AnswerSizes.cpp
+++ b/src/outcome/AnswerSizes.cpp
@@ -24,7 +24,7 @@
 
 bool AnswerSizes::add(Endpoint route, std::uint32_t bytes)
 {
-    Average &average = this->byRoute[(std::uint64_t{route.address} << 16U) | route.port];
+    Average &average = this->byRoute[route.key()];
     const bool known = average.samples >= internal::minSamples;
     const bool isShort = known && bytes < internal::shortShare * average.bytes;
     // Until the average is known it is the mean of all answers.
--- a/src/simulation/Fabric.cpp
+++ b/src/simulation/Fabric.cpp
@@ -70,8 +70,7 @@
     }
     if (instances.empty())
         return std::nullopt;
-    const std::uint64_t flow = this->hash((std::uint64_t{caller.address} << 16) | caller.port,
-                                          (std::uint64_t{route.address} << 16) | route.port);
+    const std::uint64_t flow = this->hash(caller.key(), route.key());
     if (!this->steadyHash)
         return instances[flow % instances.size()];
     return *std::ranges::max_element(instances, {},
