--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -124,7 +124,8 @@
         this->hooks.resetCaller(flow);
         this->log.info("flow_reset", {{"flow", flowName(flow)},
                                       {"reason", "upstream_unreachable"},
-                                      {"upstream", this->directory.at(upstream).entry.name}});
+                                      {"upstream", this->directory.at(upstream).entry.name},
+                                      {"proof", this->proofOf(upstream)}});
     };
     result.latency = this->observerHooks();
     return result;
@@ -403,18 +404,33 @@
         this->readiness.start();
 }
 
+std::string_view Balancer::proofOf(UpstreamIndex upstream) const
+{
+    return toString(this->directory.at(upstream).health.proof());
+}
+
+std::int64_t Balancer::ageOf(TimePoint time) const
+{
+    return time == TimePoint{} ? -1 : toMilliseconds(this->scheduler.now() - time);
+}
+
 void Balancer::onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence)
 {
     const Upstream &changed = this->directory.at(upstream);
     const Duration silence = this->scheduler.now() - changed.health.lastAnswer();
+    const FailureDetector &detector = this->steering.failureDetector();
     this->counters.add(internal::livenessCounter(changed.health.liveness()));
-    this->log.info("upstream_belief", {{"upstream", changed.entry.name},
-                                       {"domain", changed.entry.domain},
-                                       {"before", toString(before)},
-                                       {"after", toString(changed.health.liveness())},
-                                       {"evidence", evidence},
-                                       {"last_answer_ms", toMilliseconds(silence)},
-                                       {"flows", changed.openFlows}});
+    this->log.info("upstream_belief",
+                   {{"upstream", changed.entry.name},
+                    {"domain", changed.entry.domain},
+                    {"before", toString(before)},
+                    {"after", toString(changed.health.liveness())},
+                    {"evidence", evidence},
+                    {"last_answer_ms", toMilliseconds(silence)},
+                    {"proof", this->proofOf(upstream)},
+                    {"any_answer_ms", this->ageOf(detector.lastAnswer())},
+                    {"reference_ms", this->ageOf(detector.lastConnectedProbeStart())},
+                    {"flows", changed.openFlows}});
     const bool suspect = changed.health.liveness() != Liveness::Alive;
     if (suspect && changed.entry.domain != this->options.self.domain)
         this->readiness.onSuspicion();
@@ -482,17 +498,14 @@
 {
     if (change.unreachable)
         this->counters.add("domain_unreachable");
-    const bool answered = change.lastAnswer != TimePoint{};
-    const Duration silence = this->scheduler.now() - change.lastAnswer;
     const std::string_view reachable = "reachable";
     const std::string_view unreachable = "unreachable";
-    this->log.info("domain_reachability",
-                   {{"domain", this->directory.domainName(change.domain)},
-                    {"before", change.unreachable ? reachable : unreachable},
-                    {"after", change.unreachable ? unreachable : reachable},
-                    {"evidence", change.evidence},
-                    {"failed", change.failedUpstreams},
-                    {"last_answer_ms", answered ? toMilliseconds(silence) : -1}});
+    this->log.info("domain_reachability", {{"domain", this->directory.domainName(change.domain)},
+                                           {"before", change.unreachable ? reachable : unreachable},
+                                           {"after", change.unreachable ? unreachable : reachable},
+                                           {"evidence", change.evidence},
+                                           {"failed", change.failedUpstreams},
+                                           {"last_answer_ms", this->ageOf(change.lastAnswer)}});
 }
 
 void Balancer::onCapacityChange(UpstreamIndex upstream, double before, double after)
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -157,6 +157,12 @@
     void onViewChange();
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
+
+    /** \returns how an upstream is confirmed down, for the log. */
+    [[nodiscard]] std::string_view proofOf(UpstreamIndex upstream) const;
+
+    /** \returns the age in ms, or -1 if the event never happened. */
+    [[nodiscard]] std::int64_t ageOf(TimePoint time) const;
     void onOutcome(const RequestObservation &observation);
     void onEjectionChange(const EjectionChange &change);
     void onCapacityChange(UpstreamIndex upstream, double before, double after);
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -85,6 +85,12 @@
 
     [[nodiscard]] const DomainReachability &reachability() const { return this->domains; }
 
+    /** \returns the last answer or connected probe of any upstream. */
+    [[nodiscard]] TimePoint lastAnswer() const { return this->lastAnswerAt; }
+
+    /** \returns the start of the latest probe that connected. */
+    [[nodiscard]] TimePoint lastConnectedProbeStart() const { return this->lastConnectedProbe; }
+
 private:
     void check(UpstreamIndex upstream, TimePoint now);
     void startProbe(UpstreamIndex upstream, TimePoint now);
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -42,6 +42,21 @@
     return "unknown";
 }
 
+std::string_view toString(DownProof proof)
+{
+    switch (proof) {
+    case DownProof::None:
+        return "none";
+    case DownProof::Refusals:
+        return "refusals";
+    case DownProof::Timeouts:
+        return "timeouts";
+    case DownProof::Isolation:
+        return "isolation";
+    }
+    return "none";
+}
+
 void UpstreamHealth::expectAnswer(TimePoint now, TimePoint due)
 {
     if (this->state != Liveness::Alive || due < now)
@@ -159,10 +174,15 @@
         this->nextProbe.reset();
 }
 
-bool UpstreamHealth::isConfirmedDown() const
+DownProof UpstreamHealth::proof() const
 {
-    return this->state == Liveness::Unreachable
-           || (this->state == Liveness::Refusing && this->refusals >= internal::confirmingRefusals);
+    if (this->state == Liveness::Refusing)
+        return this->refusals >= internal::confirmingRefusals ? DownProof::Refusals
+                                                              : DownProof::None;
+    if (this->state != Liveness::Unreachable)
+        return DownProof::None;
+    return this->provenTimeouts >= internal::confirmingTimeouts ? DownProof::Timeouts
+                                                                : DownProof::Isolation;
 }
 
 void UpstreamHealth::recordOutage(Outage::Kind kind, TimePoint now)
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -25,6 +25,16 @@
     Inconclusive, //!< No answer, nor from any other upstream: the fault may be local.
 };
 
+/** \brief Which probes confirm that an upstream is down. */
+enum class DownProof : std::uint8_t {
+    None,      //!< It is not confirmed down.
+    Refusals,  //!< Connections were refused.
+    Timeouts,  //!< Connections timed out while another upstream accepted one.
+    Isolation, //!< Connections timed out, and this instance had no answer from anyone.
+};
+
+[[nodiscard]] std::string_view toString(DownProof proof);
+
 /** \brief How an upstream was found to be down. */
 struct Outage
 {
@@ -82,7 +92,10 @@
 
     /** \returns whether the upstream is down or cut off: answers are overdue, and two consecutive
      * probes failed in the same way. */
-    [[nodiscard]] bool isConfirmedDown() const;
+    [[nodiscard]] bool isConfirmedDown() const { return this->proof() != DownProof::None; }
+
+    /** \returns the probes that confirm it as down. */
+    [[nodiscard]] DownProof proof() const;
 
     /** \returns the outage from which the upstream has returned, once; nothing while it is down. An
      * outage of this instance's own connectivity is none of the upstream. */
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -102,6 +102,8 @@
         this->detector.onReferenceResult(upstream, result, startedAt, now);
     }
 
+    [[nodiscard]] const FailureDetector &failureDetector() const { return this->detector; }
+
     [[nodiscard]] const DomainReachability &reachability() const
     {
         return this->detector.reachability();
