Reset no flow because this instance hears nobody

Cause: an instance that had no answer for 600 ms took itself for isolated and counted probes without a result as proof that the upstream is down. A view update of about 1,000 upstreams fills links of 10 Mbit/s for that long, and an instance of a large deployment, or one that has just started (any_answer_ms=-1), has no answer for seconds anyway.

Change: a timeout counts only beside a reached reference, whatever the silence. Whether the instance itself is cut off is decided by InstanceConnectivity (four lost probes over 1.5 s, and no source of the view). Its verdict resets nothing: the instance leaves rotation, so that others carry its flows on, and refuses new flows at once.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -204,8 +204,7 @@
                 this->connect(peer, std::move(handler));
             },
             [this] {
-                return ReadinessFacts{this->domainUpstreams.supply(),
-                                      this->domainUpstreams.lastAnswerElsewhere(),
+                return ReadinessFacts{this->supply(), this->domainUpstreams.lastAnswerElsewhere(),
                                       this->sourcedStore.sourceLostAt()};
             },
             [this] {
@@ -213,6 +212,31 @@
             }};
 }
 
+DomainSupply Balancer::supply() const
+{
+    const DomainSupply supply = this->domainUpstreams.supply();
+    return supply == DomainSupply::Own && this->isolated ? DomainSupply::OwnUnusable : supply;
+}
+
+void Balancer::updateIsolation()
+{
+    const bool isolated
+        = this->sourcedStore.sourceLostAt().has_value()
+          && this->steering.failureDetector().reachesNoUpstream(this->scheduler.now());
+    if (std::exchange(this->isolated, isolated) == isolated)
+        return;
+    if (isolated)
+        this->counters.add("instance_isolated");
+    this->log.warn("instance_connectivity",
+                   {{"after", isolated ? "isolated" : "connected"},
+                    {"any_answer_ms", this->ageOf(this->steering.failureDetector().lastAnswer())},
+                    {"age_ms", toMilliseconds(this->sourcedStore.age())}});
+    if (isolated)
+        this->readiness.onSuspicion();
+    else
+        this->readiness.onChange();
+}
+
 void Balancer::connect(Endpoint peer, std::function<void(bool connected)> handler)
 {
     this->hooks.probe(peer, [handler = std::move(handler)](ProbeResult result) {
@@ -227,6 +251,7 @@
     this->hooks.probe(this->directory.at(upstream).entry.address, [this, upstream,
                                                                    startedAt](ProbeResult result) {
         this->steering.onProbeResult(upstream, result, startedAt, this->scheduler.now());
+        this->updateIsolation();
         this->scheduleTick();
     });
 }
@@ -238,6 +263,7 @@
     this->hooks.probe(this->directory.at(upstream).entry.address, [this, upstream,
                                                                    startedAt](ProbeResult result) {
         this->steering.onReferenceResult(upstream, result, startedAt, this->scheduler.now());
+        this->updateIsolation();
         this->scheduleTick();
     });
 }
@@ -353,6 +379,7 @@
 {
     this->tickScheduledFor.reset();
     this->steering.tick(this->scheduler.now());
+    this->updateIsolation();
     this->scheduleTick();
 }
 
@@ -376,6 +403,7 @@
 
 void Balancer::onViewChange()
 {
+    this->updateIsolation();
     this->scheduleTick();
     this->ejection.setInstancesPerDomain(this->sources.instancesInDomain());
     if (!this->view.isComplete())
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -158,6 +158,12 @@
     void becomeReady();
     void onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence);
 
+    /** \returns what the own failure domain can serve, nothing while this instance is isolated. */
+    [[nodiscard]] DomainSupply supply() const;
+
+    /** \brief Checks whether neither an upstream nor a source of the view is reached. */
+    void updateIsolation();
+
     /** \returns how an upstream is confirmed down, for the log. */
     [[nodiscard]] std::string_view proofOf(UpstreamIndex upstream) const;
 
@@ -202,6 +208,7 @@
     TimePoint readyAt{};
     bool ready = false;
     bool stopping = false;
+    bool isolated = false; //!< Neither an upstream nor a source of the view is reached.
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> decisions{};
 };
 
--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -14,9 +14,6 @@
  * earlier ones. */
 constexpr Duration referenceTolerance = std::chrono::milliseconds(30);
 
-/** An instance without any answer for this long is isolated; a congested link delays less. */
-constexpr Duration isolationTimeout = std::chrono::milliseconds(600);
-
 /** Interval between the probes that check whether an unreachable domain is back. */
 constexpr Duration domainCheckInterval = std::chrono::milliseconds(250);
 
@@ -56,6 +53,7 @@
 void FailureDetector::onAnswer(UpstreamIndex upstream, TimePoint now)
 {
     this->lastAnswerAt = now;
+    this->instance.onContact();
     this->domains.onAnswer(this->directory.at(upstream).domainIndex, now);
     UpstreamHealth &health = this->directory.at(upstream).health;
     const Liveness before = health.liveness();
@@ -88,6 +86,7 @@
 {
     this->lastConnectedProbe = std::max(this->lastConnectedProbe, startedAt);
     this->lastAnswerAt = now;
+    this->instance.onContact();
     this->domains.onConnected(this->directory.at(upstream).domainIndex, startedAt, now);
 }
 
@@ -107,10 +106,9 @@
         this->discardUnprovenRefusals(upstream, now);
     UpstreamHealth &health = this->directory.at(upstream).health;
     const Liveness before = health.liveness();
-    bool changed = health.onProbeResult(result, now);
-    if (result == ProbeResult::Inconclusive
-        && now - this->lastAnswerAt > internal::isolationTimeout)
-        changed = health.countInconclusiveAsTimeouts(now) || changed;
+    const bool changed = health.onProbeResult(result, now);
+    if (result == ProbeResult::Inconclusive)
+        this->instance.onProbeLost(startedAt, now);
     this->monitor(upstream);
     if (const auto next = health.probeAt())
         this->schedule(*next);
@@ -173,6 +171,7 @@
     if (paused) {
         this->cancelExpectedAnswers(now);
         this->domains.discardFailures();
+        this->instance.onContact();
         this->checkUnreachableDomains(now);
         return true;
     }
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -6,6 +6,7 @@
 #include "health/UpstreamHealth.h"
 #include "reachability/DomainProbes.h"
 #include "reachability/DomainReachability.h"
+#include "reachability/InstanceConnectivity.h"
 
 #include <functional>
 #include <optional>
@@ -45,9 +46,9 @@
  * Detects upstreams that fail without notice. Only those with an answer due are checked, so the
  * cost does not grow with the number of upstreams. A congested link or a slow instance also delays
  * answers; therefore a probe that times out counts only if another upstream, the reference, was
- * reached in the meantime. An overloaded upstream refuses connections; therefore refused probes
- * count only if no upstream of its failure domain answered in the meantime and the probe of another
- * one has failed as well. Performs no I/O.
+ * reached in the meantime, however long this instance has been without an answer. An overloaded
+ * upstream refuses connections; therefore refused probes count only if no upstream of its failure
+ * domain answered in the meantime and the probe of another one has failed as well. Performs no I/O.
  * \sa UpstreamHealth, DomainReachability
  */
 class FailureDetector
@@ -85,6 +86,13 @@
 
     [[nodiscard]] const DomainReachability &reachability() const { return this->domains; }
 
+    /** \returns whether no upstream was reached although several probes were lost; the view may
+     * show that the instance is connected all the same. */
+    [[nodiscard]] bool reachesNoUpstream(TimePoint now) const
+    {
+        return this->instance.reachesNoUpstream(now);
+    }
+
     /** \returns the last answer or connected probe of any upstream. */
     [[nodiscard]] TimePoint lastAnswer() const { return this->lastAnswerAt; }
 
@@ -117,6 +125,7 @@
     FailureDetectorHooks hooks;
     DomainReachability domains;
     DomainProbes domainProbes;
+    InstanceConnectivity instance;
     std::vector<UpstreamIndex> monitored; //!< Upstreams with an answer due or a probe scheduled.
     std::vector<UpstreamIndex> checked;   //!< Scratch buffer of tick.
     std::optional<TimePoint> checkAt;
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -51,8 +51,6 @@
         return "refusals";
     case DownProof::Timeouts:
         return "timeouts";
-    case DownProof::Isolation:
-        return "isolation";
     }
     return "none";
 }
@@ -98,8 +96,8 @@
     const Liveness before = this->state;
     this->probeInterval = std::min(this->probeInterval * 2, internal::maxProbeInterval);
     this->nextProbe = now + this->probeInterval;
-    if (result != ProbeResult::TimedOut)
-        this->provenTimeouts = 0;
+    if (result != ProbeResult::Inconclusive)
+        this->inconclusive = 0;
     switch (result) {
     case ProbeResult::Refused:
         this->timeouts = 0;
@@ -114,19 +112,22 @@
         break;
     case ProbeResult::TimedOut:
         this->refusals = 0;
-        ++this->timeouts;
-        if (++this->provenTimeouts == internal::confirmingTimeouts)
+        if (++this->timeouts == internal::confirmingTimeouts)
             this->recordOutage(Outage::Kind::TimedOut, now);
-        this->evaluateTimeouts(now);
+        if (this->timeouts >= internal::confirmingTimeouts)
+            this->state = Liveness::Unreachable;
+        else
+            this->scheduleAtOnce(now);
         break;
     case ProbeResult::Inconclusive:
         this->refusals = 0;
-        ++this->inconclusive;
-        this->evaluateTimeouts(now);
+        if (++this->inconclusive <= internal::confirmingTimeouts) {
+            this->probeInterval = internal::minProbeInterval;
+            this->scheduleAtOnce(now);
+        }
         break;
     case ProbeResult::Connected:
         this->timeouts = 0;
-        this->inconclusive = 0;
         this->refusals = 0;
         this->state = Liveness::Suspect;
         if (this->clearedByProbeAt == TimePoint{}
@@ -156,19 +157,9 @@
     return true;
 }
 
-bool UpstreamHealth::countInconclusiveAsTimeouts(TimePoint now)
-{
-    const Liveness before = this->state;
-    this->timeouts += std::exchange(this->inconclusive, 0U);
-    this->evaluateTimeouts(now);
-    return this->state != before;
-}
-
-void UpstreamHealth::evaluateTimeouts(TimePoint now)
+void UpstreamHealth::scheduleAtOnce(TimePoint now)
 {
-    if (this->timeouts >= internal::confirmingTimeouts)
-        this->state = Liveness::Unreachable;
-    else if (this->pendingProbes == 0)
+    if (this->pendingProbes == 0)
         this->nextProbe = now;
     else
         this->nextProbe.reset();
@@ -176,13 +167,11 @@
 
 DownProof UpstreamHealth::proof() const
 {
-    if (this->state == Liveness::Refusing)
-        return this->refusals >= internal::confirmingRefusals ? DownProof::Refusals
-                                                              : DownProof::None;
-    if (this->state != Liveness::Unreachable)
-        return DownProof::None;
-    return this->provenTimeouts >= internal::confirmingTimeouts ? DownProof::Timeouts
-                                                                : DownProof::Isolation;
+    if (this->state == Liveness::Unreachable)
+        return DownProof::Timeouts;
+    const bool refuses
+        = this->state == Liveness::Refusing && this->refusals >= internal::confirmingRefusals;
+    return refuses ? DownProof::Refusals : DownProof::None;
 }
 
 void UpstreamHealth::recordOutage(Outage::Kind kind, TimePoint now)
@@ -215,7 +204,6 @@
     this->timeouts = 0;
     this->inconclusive = 0;
     this->refusals = 0;
-    this->provenTimeouts = 0;
     this->refusalsDiscarded = false;
     this->probeInterval = internal::minProbeInterval;
     this->nextProbe.reset();
--- a/src/health/UpstreamHealth.h
+++ b/src/health/UpstreamHealth.h
@@ -27,10 +27,9 @@
 
 /** \brief Which probes confirm that an upstream is down. */
 enum class DownProof : std::uint8_t {
-    None,      //!< It is not confirmed down.
-    Refusals,  //!< Connections were refused.
-    Timeouts,  //!< Connections timed out while another upstream accepted one.
-    Isolation, //!< Connections timed out, and this instance had no answer from anyone.
+    None,     //!< It is not confirmed down.
+    Refusals, //!< Connections were refused.
+    Timeouts, //!< Connections timed out while another upstream accepted one.
 };
 
 [[nodiscard]] std::string_view toString(DownProof proof);
@@ -83,10 +82,6 @@
      * evidence. */
     void cancelExpectedAnswer() { this->answerDue.reset(); }
 
-    /** \brief Counts inconclusive probes as timed out, because this instance has been without any
-     * answer for so long that it must be isolated. \returns whether the state changed. */
-    bool countInconclusiveAsTimeouts(TimePoint now);
-
     /** \brief Clears all state, as after a restart of the upstream. */
     void reset() { *this = UpstreamHealth(); }
 
@@ -124,7 +119,7 @@
     void probeStarted(TimePoint now);
 
 private:
-    void evaluateTimeouts(TimePoint now);
+    void scheduleAtOnce(TimePoint now);
     void recordOutage(Outage::Kind kind, TimePoint now);
     void setState(Liveness next, TimePoint now);
 
@@ -139,10 +134,9 @@
     Duration probeInterval{};
     bool refusalsDiscarded = false; //!< Since the upstream became suspect.
     unsigned pendingProbes = 0;
-    unsigned timeouts = 0;       //!< Consecutive probes that timed out.
-    unsigned inconclusive = 0;   //!< Consecutive inconclusive probes.
-    unsigned refusals = 0;       //!< Consecutive probes that were refused.
-    unsigned provenTimeouts = 0; //!< Consecutive timeouts while another upstream was reached.
+    unsigned timeouts = 0;     //!< Consecutive probes that timed out.
+    unsigned inconclusive = 0; //!< Consecutive inconclusive probes.
+    unsigned refusals = 0;     //!< Consecutive probes that were refused.
 };
 
 } // namespace bulrushgap::balance
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -128,6 +128,8 @@
         if (result.verdict == SteeringReason::NewFlow)
             result.verdict = result.services.back().verdict;
     }
+    if (this->detector.reachesNoUpstream(now))
+        result.verdict = SteeringReason::AllUnreachable;
     return result;
 }
 
@@ -252,6 +254,10 @@
     PlacementConstraints constraints = this->constraintsFor(packet, flow, now);
     constraints.idempotent = route.kind == RequestKind::Idempotent;
     this->confirmReturned();
+    if (this->detector.reachesNoUpstream(now)) {
+        this->choice = {};
+        return internal::reset(SteeringReason::AllUnreachable);
+    }
     this->choice = this->placement.choose(this->serviceFor(route), constraints, now);
     if (this->choice.upstream == noUpstream)
         return internal::reset(internal::refusalReason(this->choice));
