Ask upstreams of another service before refusals count as proof

An upstream that is overloaded resets connections beyond its limit, and an instance takes two such refusals as proof that it is down when a neighbour refuses as well.

Change: one of the probed neighbours is of another service, if the domain has any, and neither a refusal nor the verdict on a domain counts while only upstreams of one service have failed. A partition concerns all services.

--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -22,11 +22,15 @@
 /** \brief Index of a failure domain in the UpstreamDirectory; never reused. */
 using DomainIndex = std::uint16_t;
 
+/** \brief Index of a service in the UpstreamDirectory; never reused. */
+using ServiceIndex = std::uint16_t;
+
 /** \brief State that an instance keeps for one upstream. */
 struct Upstream
 {
     UpstreamEntry entry;
-    DomainIndex domainIndex = 0; //!< Of the failure domain in its entry.
+    DomainIndex domainIndex = 0;   //!< Of the failure domain in its entry.
+    ServiceIndex serviceIndex = 0; //!< Of the service in its entry.
     std::uint32_t flowTag = 0;   //!< Identifies the upstream in the packets of its flows; never 0.
     bool registered = true;      //!< The registry has an entry for it.
     bool tagIsAmbiguous = false; //!< Another upstream has the same tag.
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -18,6 +18,18 @@
 /** How long a deregistered upstream stays known; flows last a minute at most. */
 constexpr Duration discardDelay = std::chrono::minutes(3);
 
+/** \returns the index of a name, which is added if it is missing. Names beyond the largest index
+ * are faulty; they share the last one. */
+std::uint16_t indexOf(std::string_view name, std::vector<std::string> &names)
+{
+    const auto found = std::ranges::find(names, name);
+    if (found != names.end())
+        return static_cast<std::uint16_t>(found - names.begin());
+    if (names.size() < std::numeric_limits<std::uint16_t>::max())
+        names.emplace_back(name);
+    return static_cast<std::uint16_t>(names.size() - 1);
+}
+
 } // namespace internal
 
 std::string_view toString(DirectoryChange::Kind kind)
@@ -91,7 +103,7 @@
     Upstream &upstream = this->upstreams[index];
     upstream.registered = true;
     upstream.entry = entry.entry;
-    upstream.domainIndex = this->domainIndexOf(entry.entry.domain);
+    this->indexEntry(upstream);
     upstream.revision = entry.revision;
     upstream.coldUntil = now + entry.entry.slowStart;
     this->byName.emplace(entry.entry.name, index);
@@ -127,7 +139,7 @@
     const bool restarted = upstream.entry.startedAtMs != entry.entry.startedAtMs;
     const UpstreamState stateBefore = upstream.entry.state;
     upstream.entry = entry.entry;
-    upstream.domainIndex = this->domainIndexOf(entry.entry.domain);
+    this->indexEntry(upstream);
     if (entry.entry.slowStart > Duration::zero())
         upstream.coldUntil = std::max(upstream.coldUntil, now + entry.entry.slowStart);
     if (restarted) {
@@ -213,15 +225,10 @@
     this->upstreams[found->second].tagIsAmbiguous = true;
 }
 
-DomainIndex UpstreamDirectory::domainIndexOf(std::string_view domain)
+void UpstreamDirectory::indexEntry(Upstream &upstream)
 {
-    const auto found = std::ranges::find(this->domains, domain);
-    if (found != this->domains.end())
-        return static_cast<DomainIndex>(found - this->domains.begin());
-    // Entries beyond this number of domains are faulty; they share the last index.
-    if (this->domains.size() < std::numeric_limits<DomainIndex>::max())
-        this->domains.emplace_back(domain);
-    return static_cast<DomainIndex>(this->domains.size() - 1);
+    upstream.domainIndex = internal::indexOf(upstream.entry.domain, this->domains);
+    upstream.serviceIndex = internal::indexOf(upstream.entry.service, this->services);
 }
 
 void UpstreamDirectory::rebuildCandidates()
@@ -287,12 +294,18 @@
         this->upstreams, [](const Upstream &upstream) { return upstream.registered; }));
 }
 
-std::size_t UpstreamDirectory::registeredCount(DomainIndex domain) const
+DomainSize UpstreamDirectory::domainSize(DomainIndex domain) const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(this->upstreams, [domain](const Upstream &upstream) {
-            return upstream.registered && upstream.domainIndex == domain;
-        }));
+    DomainSize size;
+    std::set<ServiceIndex> found;
+    for (const Upstream &upstream : this->upstreams) {
+        if (!upstream.registered || upstream.domainIndex != domain)
+            continue;
+        ++size.upstreams;
+        found.insert(upstream.serviceIndex);
+    }
+    size.services = found.size();
+    return size;
 }
 
 void UpstreamDirectory::notify(DirectoryChange::Kind kind, UpstreamIndex index)
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -47,6 +47,13 @@
 /** \brief Whether the entry of an upstream allows new flows, or why not. */
 enum class Eligibility { Eligible, Unregistered, Draining, AmbiguousTag, Evacuated };
 
+/** \brief Registered upstreams of a failure domain. */
+struct DomainSize
+{
+    std::size_t upstreams = 0;
+    std::size_t services = 0; //!< To which these upstreams belong.
+};
+
 /** \brief Upstreams by index, flow tag and service, and the evacuated failure domains.
  *
  * A deregistered upstream takes no new flows, but stays known for longer than the longest flow, so
@@ -104,8 +111,8 @@
     [[nodiscard]] std::size_t size() const { return this->upstreams.size(); }
     [[nodiscard]] std::size_t registeredCount() const;
 
-    /** \returns the number of registered upstreams in a failure domain. */
-    [[nodiscard]] std::size_t registeredCount(DomainIndex domain) const;
+    /** \returns how much of the registry is in a failure domain. */
+    [[nodiscard]] DomainSize domainSize(DomainIndex domain) const;
 
     [[nodiscard]] std::string_view domainName(DomainIndex domain) const
     {
@@ -124,14 +131,15 @@
     void discard(UpstreamIndex index);
     [[nodiscard]] UpstreamIndex allocateIndex();
     void indexTag(UpstreamIndex index);
-    [[nodiscard]] DomainIndex domainIndexOf(std::string_view domain);
+    void indexEntry(Upstream &upstream);
     void rebuildCandidates();
     void notify(DirectoryChange::Kind kind, UpstreamIndex index);
 
     ChangeHandler onChange;
     KeyedHash tagHash;
     std::vector<Upstream> upstreams;
-    std::vector<std::string> domains; //!< By DomainIndex.
+    std::vector<std::string> domains;  //!< By DomainIndex.
+    std::vector<std::string> services; //!< By ServiceIndex.
     std::map<std::string, UpstreamIndex, std::less<>> byName;
     boost::unordered_flat_map<std::uint32_t, UpstreamIndex> byTag;
     Candidates byService;
--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -77,9 +77,10 @@
     }
     if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
         return;
-    const DomainIndex domain = this->directory.at(upstream).domainIndex;
-    this->domains.onProbeFailed(domain, {upstream, result, startedAt, true},
-                                this->directory.registeredCount(domain), now);
+    const Upstream &subject = this->directory.at(upstream);
+    this->domains.onProbeFailed(subject.domainIndex,
+                                {upstream, result, startedAt, true, subject.serviceIndex},
+                                this->directory.domainSize(subject.domainIndex), now);
 }
 
 void FailureDetector::onConnected(UpstreamIndex upstream, TimePoint startedAt, TimePoint now)
@@ -126,10 +127,11 @@
         return;
     const DomainIndex domain = subject.domainIndex;
     const bool answered = this->domains.lastAnswer(domain) > *since;
-    const std::size_t others
-        = this->directory.registeredCount(domain) - (subject.registered ? 1 : 0);
-    const bool proven = subject.health.isConfirmedDown() || others == 0
-                        || this->domains.hasFailedBeside(domain, upstream);
+    const DomainSize size = this->directory.domainSize(domain);
+    const std::size_t others = size.upstreams - (subject.registered ? 1 : 0);
+    const bool proven
+        = subject.health.isConfirmedDown() || others == 0
+          || this->domains.hasFailedBeside(domain, upstream, subject.serviceIndex, size);
     if (answered || !proven)
         subject.health.discardRefusals(now);
 }
@@ -138,8 +140,9 @@
                                     TimePoint now)
 {
     const Upstream &subject = this->directory.at(upstream);
-    this->domains.onProbeFailed(subject.domainIndex, {upstream, result, startedAt, false},
-                                this->directory.registeredCount(subject.domainIndex), now);
+    this->domains.onProbeFailed(subject.domainIndex,
+                                {upstream, result, startedAt, false, subject.serviceIndex},
+                                this->directory.domainSize(subject.domainIndex), now);
     if (subject.health.liveness() == Liveness::Alive || subject.health.isConfirmedDown())
         return;
     const bool first = result == ProbeResult::TimedOut || !subject.health.hasDiscardedRefusals();
--- a/src/reachability/DomainProbes.cpp
+++ b/src/reachability/DomainProbes.cpp
@@ -59,22 +59,41 @@
         return best;
     domainState.neighboursAt = now;
     const std::size_t size = this->directory.size();
+    UpstreamIndex ofOtherService = noUpstream;
     for (std::size_t i = 0; i < size; ++i) {
-        auto index = static_cast<UpstreamIndex>((domainState.neighboursStart + i) % size);
+        const auto index = static_cast<UpstreamIndex>((domainState.neighboursStart + i) % size);
         if (!this->isNeighbour(index, subject))
             continue;
-        for (UpstreamIndex &place : best) {
-            if (place == noUpstream || this->isFresher(index, place))
-                std::swap(place, index);
-            if (index == noUpstream)
-                break;
-        }
+        this->insert(index, best);
+        if (this->isOfOtherService(index, subject)
+            && (ofOtherService == noUpstream || this->isFresher(index, ofOtherService)))
+            ofOtherService = index;
     }
+    const bool hasOtherService = std::ranges::any_of(best, [&](UpstreamIndex upstream) {
+        return upstream != noUpstream && this->isOfOtherService(upstream, subject);
+    });
+    if (!hasOtherService && ofOtherService != noUpstream)
+        best.back() = ofOtherService;
     // Other upstreams next time, where several answered at the same time or never.
     domainState.neighboursStart += DomainProbes::maxNeighbours;
     return best;
 }
 
+void DomainProbes::insert(UpstreamIndex upstream, Selection &best) const
+{
+    for (UpstreamIndex &place : best) {
+        if (place == noUpstream || this->isFresher(upstream, place))
+            std::swap(place, upstream);
+        if (upstream == noUpstream)
+            return;
+    }
+}
+
+bool DomainProbes::isOfOtherService(UpstreamIndex upstream, UpstreamIndex subject) const
+{
+    return this->directory.at(upstream).serviceIndex != this->directory.at(subject).serviceIndex;
+}
+
 bool DomainProbes::isNeighbour(UpstreamIndex upstream, UpstreamIndex subject) const
 {
     const Upstream &candidate = this->directory.at(upstream);
--- a/src/reachability/DomainProbes.h
+++ b/src/reachability/DomainProbes.h
@@ -34,8 +34,9 @@
     /** \returns an upstream outside of the domain of \a subject, or noUpstream. */
     [[nodiscard]] UpstreamIndex outside(UpstreamIndex subject);
 
-    /** \returns upstreams of the domain of \a subject that have not failed a probe yet; none if it
-     * returned some of this domain less than 100 ms ago. */
+    /** \returns upstreams of the domain of \a subject that have not failed a probe yet, one of them
+     * of another service if there is one; none if it returned some of this domain less than 100 ms
+     * ago. */
     [[nodiscard]] Selection neighbours(UpstreamIndex subject, TimePoint now);
 
     /** \returns the upstream to probe next in an unreachable domain, or noUpstream if it has none.
@@ -52,6 +53,10 @@
 
     [[nodiscard]] DomainState &state(DomainIndex domain);
     [[nodiscard]] bool isNeighbour(UpstreamIndex upstream, UpstreamIndex subject) const;
+    [[nodiscard]] bool isOfOtherService(UpstreamIndex upstream, UpstreamIndex subject) const;
+
+    /** \brief Adds an upstream to those that answered last. */
+    void insert(UpstreamIndex upstream, Selection &best) const;
 
     /** \brief Searches the upstreams from a changing start for the one that answered last.
      *
--- a/src/reachability/DomainReachability.cpp
+++ b/src/reachability/DomainReachability.cpp
@@ -60,7 +60,7 @@
 }
 
 void DomainReachability::onProbeFailed(DomainIndex domain, const FailedProbe &probe,
-                                       std::size_t registered, TimePoint now)
+                                       DomainSize size, TimePoint now)
 {
     Domain &subject = this->entry(domain);
     if (subject.unreachable || probe.startedAt <= subject.answeredAt)
@@ -71,12 +71,12 @@
         subject.firstFailureAt = probe.startedAt;
         ++this->domainsWithFailures;
     }
-    subject.registered = registered;
+    subject.size = size;
     subject.lastFailureAt = std::max(subject.lastFailureAt, probe.startedAt);
     subject.failedProbes += probe.result == ProbeResult::Refused ? 2 : 1;
     subject.referenceFailed = subject.referenceFailed || probe.isReference;
-    if (!this->hasFailed(domain, probe.upstream) && subject.failedUpstreams < requiredUpstreams)
-        subject.failed.at(subject.failedUpstreams++) = probe.upstream;
+    if (!this->hasFailed(domain, probe.upstream))
+        addFailed(subject, {probe.upstream, probe.service});
     this->evaluate(domain, now);
 }
 
@@ -94,23 +94,47 @@
         this->clearFailures(domain);
 }
 
+std::span<const DomainReachability::FailedUpstream>
+DomainReachability::failedOf(const Domain &domain)
+{
+    return std::span(domain.failed).first(domain.failedUpstreams);
+}
+
+void DomainReachability::addFailed(Domain &domain, FailedUpstream failed)
+{
+    if (domain.failedUpstreams < requiredUpstreams)
+        domain.failed.at(domain.failedUpstreams++) = failed;
+    else if (!hasFailedService(domain, domain.failed.front().service))
+        domain.failed.back() = failed;
+}
+
+bool DomainReachability::hasFailedService(const Domain &domain, ServiceIndex beside)
+{
+    return std::ranges::any_of(failedOf(domain), [beside](const FailedUpstream &failed) {
+        return failed.service != beside;
+    });
+}
+
 bool DomainReachability::hasFailed(DomainIndex domain, UpstreamIndex upstream) const
 {
     if (domain >= this->domains.size())
         return false;
-    const Domain &subject = this->domains[domain];
-    const auto failed = std::span(subject.failed).first(subject.failedUpstreams);
-    return std::ranges::find(failed, upstream) != failed.end();
+    const auto failed = failedOf(this->domains[domain]);
+    return std::ranges::find(failed, upstream, &FailedUpstream::upstream) != failed.end();
 }
 
-bool DomainReachability::hasFailedBeside(DomainIndex domain, UpstreamIndex upstream) const
+bool DomainReachability::hasFailedBeside(DomainIndex domain, UpstreamIndex upstream,
+                                         ServiceIndex service, DomainSize size) const
 {
     if (domain >= this->domains.size())
         return false;
     const Domain &subject = this->domains[domain];
     // The upstreams that failed before the verdict are not kept after it.
-    const std::size_t own = this->hasFailed(domain, upstream) ? 1 : 0;
-    return subject.unreachable || subject.failedUpstreams > own;
+    if (subject.unreachable)
+        return true;
+    if (size.services > 1)
+        return hasFailedService(subject, service);
+    return subject.failedUpstreams > (this->hasFailed(domain, upstream) ? 1U : 0U);
 }
 
 DomainReachability::Domain &DomainReachability::entry(DomainIndex domain)
@@ -155,7 +179,7 @@
 
 bool DomainReachability::isProven(const Domain &domain) const
 {
-    const std::size_t required = std::min(requiredUpstreams, domain.registered);
+    const std::size_t required = std::min(requiredUpstreams, domain.size.upstreams);
     if (required == 0 || domain.failedUpstreams < required)
         return false;
     // On a lossy link one probe of each upstream may be lost; therefore one more must have failed.
@@ -163,7 +187,10 @@
         return false;
     // Several upstreams may have failed at the same time although their domain is reachable;
     // therefore the probe of an upstream that was not suspect must have failed as well.
-    return domain.referenceFailed || domain.failedUpstreams >= domain.registered;
+    if (!domain.referenceFailed && domain.failedUpstreams < domain.size.upstreams)
+        return false;
+    // The upstreams of one service may be overloaded and refuse connections.
+    return domain.size.services < 2 || hasFailedService(domain, domain.failed.front().service);
 }
 
 bool DomainReachability::isConnectedBeside(const Domain &domain) const
--- a/src/reachability/DomainReachability.h
+++ b/src/reachability/DomainReachability.h
@@ -2,11 +2,13 @@
 
 #include "base/Time.h"
 #include "directory/Upstream.h"
+#include "directory/UpstreamDirectory.h"
 #include "health/UpstreamHealth.h"
 
 #include <array>
 #include <cstddef>
 #include <functional>
+#include <span>
 #include <string_view>
 #include <vector>
 
@@ -19,6 +21,7 @@
     ProbeResult result = ProbeResult::TimedOut;
     TimePoint startedAt{};
     bool isReference = false; //!< Whether the upstream was not suspect itself.
+    ServiceIndex service = 0; //!< Of the upstream.
 };
 
 /** \brief Change of a domain's reachability, for the log. */
@@ -57,8 +60,8 @@
     void onProbesStarted(DomainIndex domain, TimePoint now);
 
     /** \brief Records a probe that did not connect.
-     * \param registered the number of upstreams that the domain has */
-    void onProbeFailed(DomainIndex domain, const FailedProbe &probe, std::size_t registered,
+     * \param size what the domain has */
+    void onProbeFailed(DomainIndex domain, const FailedProbe &probe, DomainSize size,
                        TimePoint now);
 
     /** \brief Makes a domain reachable that has no upstreams left to probe. */
@@ -76,8 +79,10 @@
     [[nodiscard]] bool isInDoubt(DomainIndex domain, TimePoint now) const;
 
     /** \returns whether a probe of an upstream other than \a upstream has failed since the last
-     * answer of the domain. */
-    [[nodiscard]] bool hasFailedBeside(DomainIndex domain, UpstreamIndex upstream) const;
+     * answer of the domain, and one of another service if the domain has several: overload rarely
+     * concerns all services. */
+    [[nodiscard]] bool hasFailedBeside(DomainIndex domain, UpstreamIndex upstream,
+                                       ServiceIndex service, DomainSize size) const;
 
     /** \returns whether a probe of the upstream has failed since the last answer of its domain. */
     [[nodiscard]] bool hasFailed(DomainIndex domain, UpstreamIndex upstream) const;
@@ -97,6 +102,12 @@
     [[nodiscard]] std::size_t unreachableCount() const { return this->unreachable; }
 
 private:
+    struct FailedUpstream
+    {
+        UpstreamIndex upstream = noUpstream;
+        ServiceIndex service = 0;
+    };
+
     struct Domain
     {
         TimePoint answeredAt{};       //!< Last acknowledged answer or connected probe.
@@ -104,16 +115,19 @@
         TimePoint probesStartedAt{};  //!< When several of its upstreams were probed.
         TimePoint firstFailureAt{};   //!< Start of the first failed probe that counts.
         TimePoint lastFailureAt{};    //!< Start of the last one.
-        std::array<UpstreamIndex, requiredUpstreams>
+        std::array<FailedUpstream, requiredUpstreams>
             failed{}; //!< The first failedUpstreams are set.
         std::size_t failedUpstreams = 0;
         std::size_t failedProbes = 0; //!< A refusal counts twice: it is not a lost packet.
-        std::size_t registered = 0;
+        DomainSize size;
         bool referenceFailed = false;
         bool unreachable = false;
     };
 
     [[nodiscard]] Domain &entry(DomainIndex domain);
+    [[nodiscard]] static std::span<const FailedUpstream> failedOf(const Domain &domain);
+    static void addFailed(Domain &domain, FailedUpstream failed);
+    [[nodiscard]] static bool hasFailedService(const Domain &domain, ServiceIndex beside);
     void recordAnswer(DomainIndex domain, std::string_view evidence, TimePoint now);
     void clearFailures(Domain &domain);
     void evaluate(DomainIndex domain, TimePoint now);
--- a/tests/DomainReachability.cpp
+++ b/tests/DomainReachability.cpp
@@ -22,6 +22,9 @@
 constexpr DomainIndex own = 0;
 constexpr DomainIndex other = 1;
 
+/** Upstreams from this index on are of another service. */
+constexpr UpstreamIndex firstOfOtherService = 50;
+
 TimePoint at(int ms)
 {
     return TimePoint(std::chrono::hours(1) + milliseconds(ms));
@@ -49,13 +52,15 @@
     std::vector<Event> events;
     bool unreachable;
     DomainIndex domain = other;
+    std::size_t services = 1; //!< In the domain in question.
 };
 
 void play(DomainReachability &reachability, const Case &test)
 {
     for (const Event &event : test.events) {
-        const FailedProbe probe{event.upstream, event.result, at(event.startedAt),
-                                event.kind == Kind::ReferenceFailed};
+        const FailedProbe probe{
+            event.upstream, event.result, at(event.startedAt), event.kind == Kind::ReferenceFailed,
+            event.upstream >= firstOfOtherService ? ServiceIndex{1} : ServiceIndex{0}};
         switch (event.kind) {
         case Kind::Acknowledged:
             reachability.onAnswer(event.domain, at(event.ms));
@@ -65,7 +70,8 @@
             break;
         case Kind::Failed:
         case Kind::ReferenceFailed:
-            reachability.onProbeFailed(event.domain, probe, test.registered, at(event.ms));
+            reachability.onProbeFailed(event.domain, probe, {test.registered, test.services},
+                                       at(event.ms));
             break;
         case Kind::Paused:
             reachability.discardFailures();
@@ -100,6 +106,29 @@
           {122, Kind::Failed, other, 1, 120, refused},
           {123, Kind::Connected, own, 9, 120}},
          true},
+        {"refusals of one service of two",
+         75,
+         {{0, Kind::Acknowledged},
+          {22, Kind::Failed, other, 1, 20, refused},
+          {24, Kind::ReferenceFailed, other, 2, 22, refused},
+          {24, Kind::ReferenceFailed, other, 3, 22, refused},
+          {122, Kind::Failed, other, 1, 120, refused},
+          {123, Kind::Connected, own, 9, 120}},
+         false,
+         other,
+         2},
+        {"refusals of both services, the other one last",
+         75,
+         {{0, Kind::Acknowledged},
+          {22, Kind::Failed, other, 1, 20, refused},
+          {24, Kind::ReferenceFailed, other, 2, 22, refused},
+          {24, Kind::ReferenceFailed, other, 3, 22, refused},
+          {25, Kind::ReferenceFailed, other, 51, 23, refused},
+          {122, Kind::Failed, other, 1, 120, refused},
+          {123, Kind::Connected, own, 9, 120}},
+         true,
+         other,
+         2},
         {"refusals while the domain answered a moment ago",
          75,
          {{22, Kind::Acknowledged},
--- a/tests/Explain.cpp
+++ b/tests/Explain.cpp
@@ -92,10 +92,11 @@
     {
         const DomainIndex domain = this->directory.at(1).domainIndex;
         for (UpstreamIndex upstream = 1; upstream <= others; ++upstream)
-            this->reachability.onProbeFailed(
-                domain, {upstream, ProbeResult::Refused, at(20), upstream > 1}, others, at(22));
-        this->reachability.onProbeFailed(domain, {1, ProbeResult::Refused, at(220), false}, others,
-                                         at(222));
+            this->reachability.onProbeFailed(domain,
+                                             {upstream, ProbeResult::Refused, at(20), upstream > 1},
+                                             {others, 1}, at(22));
+        this->reachability.onProbeFailed(domain, {1, ProbeResult::Refused, at(220), false},
+                                         {others, 1}, at(222));
         this->reachability.onConnected(this->directory.at(0).domainIndex, at(220), at(223));
     }
 
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -117,6 +117,7 @@
     unsigned referenceProbes = 0;
     bool referenceReached = true;
     std::set<std::string> refusingDomains; //!< Reference probes to their upstreams are refused.
+    std::string refusingService;           //!< Only upstreams of this service refuse, if set.
     std::uint64_t revision = 0;
     int now = 0;
     PacketSteering steering;
@@ -130,8 +131,10 @@
         };
         result.startReferenceProbe = [this](UpstreamIndex upstream) {
             ++this->referenceProbes;
+            const UpstreamEntry &entry = this->directory.at(upstream).entry;
             const bool refused
-                = this->refusingDomains.contains(this->directory.at(upstream).entry.domain);
+                = this->refusingDomains.contains(entry.domain)
+                  && (this->refusingService.empty() || this->refusingService == entry.service);
             if (this->referenceReached)
                 this->steering.onReferenceResult(
                     upstream, refused ? ProbeResult::Refused : ProbeResult::Connected,
@@ -320,27 +323,48 @@
 // before.
 TEST_CASE("refused probes prove nothing while the domain answers", "[PacketSteering]")
 {
+    struct Neighbour
+    {
+        std::string domain;
+        std::string service = "s1";
+    };
     struct Case
     {
         const char *what;
-        std::vector<std::string> neighbours; //!< Domains of the other upstreams.
-        std::set<std::string> refusing;      //!< Domains whose other upstreams refuse as well.
+        std::vector<Neighbour> neighbours;
+        std::set<std::string> refusing; //!< Domains whose other upstreams refuse as well.
         std::string domain;
         std::size_t resets;
+        std::string refusingService = {}; //!< Only its upstreams refuse.
     };
     const auto test = GENERATE(values<Case>({
-        {"overloaded, a neighbour is reached", {"b", "b", "a"}, {}, "b", 0},
-        {"overloaded, in the own domain", {"a", "b"}, {}, "a", 0},
-        {"all upstreams of the domain refuse", {"b", "b", "a"}, {"b"}, "b", 1},
-        {"all upstreams of the own domain refuse", {"a", "b"}, {"a"}, "a", 1},
-        {"no other upstream in the domain", {"a", "a"}, {}, "b", 1},
+        {"overloaded, a neighbour is reached", {{"b"}, {"b"}, {"a"}}, {}, "b", 0},
+        {"overloaded, in the own domain", {{"a"}, {"b"}}, {}, "a", 0},
+        {"all upstreams of the domain refuse", {{"b"}, {"b"}, {"a"}}, {"b"}, "b", 1},
+        {"all upstreams of the own domain refuse", {{"a"}, {"b"}}, {"a"}, "a", 1},
+        {"no other upstream in the domain", {{"a"}, {"a"}}, {}, "b", 1},
+        {"a burst overloads one service of the domain",
+         {{"b"}, {"b"}, {"b"}, {"b"}, {"b", "s2"}, {"a"}},
+         {"b"},
+         "b",
+         0,
+         "s1"},
+        {"a burst overloads one service of the own domain",
+         {{"a"}, {"a"}, {"a"}, {"a", "s2"}, {"b"}},
+         {"a"},
+         "a",
+         0,
+         "s1"},
+        {"both services of the domain refuse", {{"b"}, {"b"}, {"b", "s2"}, {"a"}}, {"b"}, "b", 1},
     }));
     INFO(test.what);
     SteeringFixture fixture;
     fixture.addUpstream("subject", test.domain);
     for (std::size_t i = 0; i < test.neighbours.size(); ++i)
-        fixture.addUpstream("neighbour-" + std::to_string(i), test.neighbours[i]);
+        fixture.addUpstream("neighbour-" + std::to_string(i), test.neighbours[i].domain,
+                            test.neighbours[i].service);
     fixture.refusingDomains = test.refusing;
+    fixture.refusingService = test.refusingService;
     const std::uint32_t tag = fixture.tagOf(0);
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
     fixture.runUntil(1'000, {});
