Simulation: links of instances have a rate and a queue

With instanceLinks in an experiment they pass a queue in each direction in order. Datagrams that find too many bytes waiting are lost, connections wait. Probes end by their own timeout in place of an outcome that is known at their start.

Reports of such runs count longest_passage_ms. Runs without instanceLinks have no such queues.

--- a/src/simulation/Experiment.cpp
+++ b/src/simulation/Experiment.cpp
@@ -17,9 +17,10 @@
 constexpr std::string_view idempotentName = "idempotent";
 
 // clang-format off
-constexpr std::array<Field, 8> experimentFields{{
+constexpr std::array<Field, 9> experimentFields{{
     {"domains", FieldType::Integer, "", "3", 1, 9, "", "failure domains"},
     {"instancesPerDomain", FieldType::Integer, "", "3", 1, 50, "", "instances in each domain"},
+    {"instanceLinks", FieldType::ObjectList, "", "[]", 0, 50, "", "links of the instances of each domain, see the table of links; further instances have no limit"},
     {"lengthMs", FieldType::Integer, "ms", "30000", 1'000, 3'600'000, "", "time with load"},
     {"steadyHash", FieldType::Flag, "", "false", 0, 0, "", "the fabric moves only flows of instances that come or go"},
     {"services", FieldType::ObjectList, "", "", 1, 50, "", "services, see the table of a service"},
@@ -28,6 +29,12 @@
     {"randomFaults", FieldType::Integer, "", "0", 0, 100, "", "so many more faults at random"},
 }};
 
+constexpr std::array<Field, 3> linkFields{{
+    {"instances", FieldType::Integer, "", "1", 1, 50, "", "instances of each domain with such a link"},
+    {"mbps", FieldType::Integer, "Mbit/s", "", 1, 100'000, "", "rate in each direction"},
+    {"queueBytes", FieldType::Integer, "bytes", "256000", 1'500, 100'000'000, "", "datagrams that find more bytes waiting are lost"},
+}};
+
 constexpr std::array<Field, 4> serviceFields{{
     {"name", FieldType::Name, "", "", 1, 40, "", "name"},
     {"upstreamsPerDomain", FieldType::Integer, "", "4", 0, 1'000, "", "upstreams in each domain"},
@@ -130,6 +137,11 @@
     result.run.length = settings.milliseconds("lengthMs");
     result.run.steadyHash = settings.flag("steadyHash");
     result.randomFaults = static_cast<std::size_t>(settings.integer("randomFaults"));
+    for (const SettingsView &each : entries(settings, "instanceLinks", linkFields, faults))
+        result.run.instanceLinks.push_back(
+            {static_cast<unsigned>(each.integer("instances")),
+             {static_cast<unsigned>(each.integer("mbps")),
+              static_cast<std::size_t>(each.integer("queueBytes"))}});
     for (const SettingsView &each : entries(settings, "services", serviceFields, faults))
         result.run.services.push_back(
             {each.text("name"), static_cast<unsigned>(each.integer("upstreamsPerDomain")),
@@ -148,6 +160,12 @@
     const Experiment experiment = experimentOf(settings, faults);
     if (!faults.empty())
         return; // Entries with faults are missing from the experiment.
+    std::size_t links = 0;
+    for (const InstanceLinks &alike : experiment.run.instanceLinks)
+        links += alike.instances;
+    if (links > experiment.run.instancesPerDomain)
+        faults.push_back({"instanceLinks", "at most instancesPerDomain in all",
+                          std::to_string(links) + " instances"});
     for (const RequestClass &each : experiment.run.classes) {
         const bool known
             = std::ranges::find(experiment.run.services, each.service, &ServiceSettings::name)
--- a/src/simulation/RemoteCall.h
+++ b/src/simulation/RemoteCall.h
@@ -2,6 +2,7 @@
 
 #include "simulation/Surroundings.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <utility>
@@ -29,8 +30,11 @@
 public:
     using Handler = std::function<void(Answer answer)>;
 
+    /** \brief Sends the answer back; \a bytes is its size on the links. */
+    using Respond = std::function<void(Answer answer, std::size_t bytes)>;
+
     /** \brief What the other place does; it calls \a respond once, now or later. */
-    using Serve = std::function<void(std::function<void(Answer answer)> respond)>;
+    using Serve = std::function<void(Respond respond)>;
 
     /** \brief Sends the call.
      * \param alive the call is dropped without an answer once it has expired. */
@@ -40,9 +44,12 @@
         const auto call = std::make_shared<RemoteCall>(surroundings, ends, std::move(alive),
                                                        std::move(handler));
         surroundings.loop.after(timeout, [call] { call->finish(Answer{}); });
-        call->travel(call->ends.from, call->ends.to, [call, serve = std::move(serve)] {
-            serve([call](Answer answer) { call->answer(std::move(answer)); });
-        });
+        call->travel(call->ends.from, call->ends.to, requestBytes,
+                     [call, serve = std::move(serve)] {
+                         serve([call](Answer answer, std::size_t bytes) {
+                             call->answer(std::move(answer), bytes);
+                         });
+                     });
     }
 
     RemoteCall(Surroundings &surroundings, CallEnds ends, std::weak_ptr<bool> alive,
@@ -54,19 +61,20 @@
     {}
 
 private:
-    void travel(const Place &start, const Place &goal, std::function<void()> arrive)
+    static constexpr std::size_t requestBytes = 200;
+
+    void travel(const Place &start, const Place &goal, std::size_t bytes,
+                std::function<void()> arrive)
     {
-        if (!this->surroundings.links.passes(start, goal))
-            return;
-        this->surroundings.loop.after(this->surroundings.links.delay(start, goal),
-                                      std::move(arrive));
+        this->surroundings.transport.send(start, goal, {Transmission::Kind::Stream, bytes},
+                                          std::move(arrive));
     }
 
-    void answer(Answer answer)
+    void answer(Answer answer, std::size_t bytes)
     {
         const auto call = std::make_shared<RemoteCall>(*this);
         const auto kept = std::make_shared<Answer>(std::move(answer));
-        this->travel(this->ends.to, this->ends.from,
+        this->travel(this->ends.to, this->ends.from, bytes,
                      [call, kept] { call->finish(std::move(*kept)); });
     }
 
--- a/src/simulation/Run.cpp
+++ b/src/simulation/Run.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::uint32_t instanceNetwork = 0x0a00'0001;
 constexpr std::uint16_t instancePort = 9'000;
-constexpr std::uint32_t instanceLinkRate = 80;
+/** What an instance tells of a link without a limit, in Mbit/s. */
+constexpr std::uint32_t unlimitedLinkRate = 80;
 constexpr Duration afterTraffic = std::chrono::seconds(4); //!< For the last answers.
 constexpr double recoveredShare = 0.25;
 constexpr std::int64_t recoveryWindow = 5; //!< In seconds.
@@ -55,14 +56,19 @@
 
 void Run::addInstances()
 {
+    const std::vector<LinkCapacity> links = this->settings.linksOfDomain();
     const std::vector<Endpoint> known = this->seeds();
     for (const std::string &domain : this->settings.domains) {
         for (unsigned number = 1; number <= this->settings.instancesPerDomain; ++number) {
             const std::size_t index = this->instances.size();
+            const std::string name = domain + '-' + std::to_string(number);
+            const LinkCapacity &link = links.at(number - 1);
+            if (link.mbps > 0)
+                this->surroundings.transport.limit(name, link);
             this->instances.push_back(std::make_unique<SimulatedInstance>(
                 this->surroundings,
-                balance::Member{domain + '-' + std::to_string(number), domain,
-                                internal::peerAddress(index), internal::instanceLinkRate},
+                balance::Member{name, domain, internal::peerAddress(index),
+                                link.mbps > 0 ? link.mbps : internal::unlimitedLinkRate},
                 known, this->instanceHooks()));
             this->fabric.add(index, domain);
         }
@@ -111,6 +117,10 @@
 
     this->checkRecovery();
     this->addLoads();
+    const Duration passage = this->surroundings.transport.longestPassage();
+    if (passage > Duration::zero())
+        this->report.addCounter("longest_passage_ms",
+                                static_cast<std::uint64_t>(toMilliseconds(passage)));
     return std::move(this->report);
 }
 
@@ -131,8 +141,9 @@
         this->resetBy[{packet->destination, packet->source}] = from.member().name;
         this->toCaller(from.place(), *packet);
     };
-    result.connect = [this](const Place &from, Endpoint address) {
-        return this->connect(from, address);
+    result.connect = [this](const Place &from, Endpoint address,
+                            balance::BalancerHooks::ProbeHandler handler) {
+        this->connect(from, address, std::move(handler));
     };
     result.onDecision = [this](const SimulatedInstance &from, const balance::FlowPacket &packet,
                                const balance::SteeringDecision &decision) {
@@ -197,13 +208,11 @@
     if (!index)
         return;
     SimulatedInstance &instance = *this->instances[*index];
-    Links &links = this->surroundings.links;
-    if (!links.passes(caller, instance.place()))
-        return;
     const TimePoint sentAt = this->surroundings.loop.now();
-    this->surroundings.loop.after(
-        links.delay(caller, instance.place()),
-        [&instance, sentAt, bytes = packet.toBytes()] { instance.onPacket(bytes, sentAt); });
+    const Bytes bytes = packet.toBytes();
+    this->surroundings.transport.send(
+        caller, instance.place(), datagramOf(bytes.size()),
+        [&instance, sentAt, bytes] { instance.onPacket(bytes, sentAt); });
 }
 
 void Run::toUpstream(const SimulatedInstance &from, Endpoint address, Bytes datagram,
@@ -213,14 +222,12 @@
     if (!owner)
         return;
     const Place machine = this->fleet.member(*owner).place();
-    Links &links = this->surroundings.links;
-    if (!links.passes(from.place(), machine))
-        return;
-    this->surroundings.loop.after(links.delay(from.place(), machine),
-                                  [this, address, datagram = std::move(datagram),
-                                   transit = Transit{from.member().name, sentAt}] {
-                                      this->arrive(address, datagram, transit);
-                                  });
+    const Transmission transmission = datagramOf(datagram.size());
+    this->surroundings.transport.send(from.place(), machine, transmission,
+                                      [this, address, datagram = std::move(datagram),
+                                       transit = Transit{from.member().name, sentAt}] {
+                                          this->arrive(address, datagram, transit);
+                                      });
 }
 
 void Run::arrive(Endpoint address, const Bytes &datagram, const Transit &transit)
@@ -262,11 +269,11 @@
     const auto population = std::ranges::find_if(
         this->populations, [&](const auto &each) { return each->owns(packet.destination); });
     const Place caller{Place::Role::Caller, "", "callers"};
-    Links &links = this->surroundings.links;
-    if (population == this->populations.end() || !links.passes(from, caller))
+    if (population == this->populations.end())
         return;
-    this->surroundings.loop.after(
-        links.delay(from, caller),
+    const Transmission transmission = datagramOf(packet.size());
+    this->surroundings.transport.send(
+        from, caller, transmission,
         [callers = population->get(), packet = std::move(packet)] { callers->onPacket(packet); });
 }
 
@@ -281,7 +288,7 @@
                                 this->surroundings.loop.now());
 }
 
-balance::ProbeResult Run::connect(const Place &from, Endpoint address)
+void Run::connect(const Place &from, Endpoint address, balance::BalancerHooks::ProbeHandler handler)
 {
     using balance::ProbeResult;
     this->report.addCounter("probe", 1);
@@ -295,11 +302,13 @@
         target = member.place();
         runs = member.model != nullptr;
     } else {
-        return ProbeResult::TimedOut;
+        return;
     }
     if (!this->surroundings.links.connected(from, target))
-        return ProbeResult::TimedOut;
-    return runs ? ProbeResult::Connected : ProbeResult::Refused;
+        return;
+    const ProbeResult result = runs ? ProbeResult::Connected : ProbeResult::Refused;
+    this->surroundings.transport.probe(from, target,
+                                       [handler = std::move(handler), result] { handler(result); });
 }
 
 SimulatedInstance *Run::instanceAt(Endpoint peer) const
--- a/src/simulation/Run.h
+++ b/src/simulation/Run.h
@@ -69,7 +69,7 @@
     void toCaller(const Place &from, WirePacket packet);
     void onDecision(const SimulatedInstance &from, const balance::FlowPacket &packet,
                     const balance::SteeringDecision &decision);
-    [[nodiscard]] balance::ProbeResult connect(const Place &from, Endpoint address);
+    void connect(const Place &from, Endpoint address, balance::BalancerHooks::ProbeHandler handler);
     [[nodiscard]] SimulatedInstance *instanceAt(Endpoint peer) const;
     [[nodiscard]] const RequestClass *classOf(const HttpRequest &request) const;
 
--- a/src/simulation/RunSettings.cpp
+++ b/src/simulation/RunSettings.cpp
@@ -2,6 +2,15 @@
 
 namespace bulrushgap::simulation {
 
+std::vector<LinkCapacity> RunSettings::linksOfDomain() const
+{
+    std::vector<LinkCapacity> links;
+    for (const InstanceLinks &alike : this->instanceLinks)
+        links.insert(links.end(), alike.instances, alike.capacity);
+    links.resize(this->instancesPerDomain);
+    return links;
+}
+
 RunSettings sampleRun()
 {
     using std::chrono::milliseconds;
--- a/src/simulation/RunSettings.h
+++ b/src/simulation/RunSettings.h
@@ -3,6 +3,7 @@
 #include "base/Endpoint.h"
 #include "base/Time.h"
 #include "directory/Configuration.h"
+#include "simulation/LinkQueue.h"
 #include "simulation/Links.h"
 
 #include <cstddef>
@@ -36,6 +37,13 @@
     double coldRequestsPerSecond = 0.0; //!< 0: a cold upstream has no limit.
 };
 
+/** \brief Instances of each failure domain whose links are alike. */
+struct InstanceLinks
+{
+    unsigned instances = 1;
+    LinkCapacity capacity;
+};
+
 /** \brief Times that the platform promises or asks for. */
 struct RunBounds
 {
@@ -55,6 +63,7 @@
 {
     std::vector<std::string> domains;
     unsigned instancesPerDomain = 3;
+    std::vector<InstanceLinks> instanceLinks; //!< In order; further instances have no limit.
     std::vector<ServiceSettings> services;
     std::vector<RequestClass> classes;
     LinkDelays delays;
@@ -63,6 +72,9 @@
     Duration lead = std::chrono::seconds(3);    //!< From the start of the instances to the traffic.
     Duration length = std::chrono::seconds(30); //!< Of the traffic.
     Duration storeHistory = std::chrono::seconds(20);
+
+    /** \returns the link of each instance of a domain; a rate of 0 stands for no limit. */
+    [[nodiscard]] std::vector<LinkCapacity> linksOfDomain() const;
 };
 
 /** \returns a small deployment like the users': two services, three kinds of request. */
--- a/src/simulation/SimulatedInstance.cpp
+++ b/src/simulation/SimulatedInstance.cpp
@@ -48,7 +48,7 @@
                         const Bytes message = balance::encodeList(kind, *list);
                         ViewList reply = balance::decodeList(kind, message).value_or(ViewList{});
                         reply.freshness = mirror.freshness();
-                        respond(std::move(reply));
+                        respond(std::move(reply), message.size());
                     });
                 });
             });
@@ -69,7 +69,7 @@
                             ViewEvents reply
                                 = balance::decodeEvents(kind, message).value_or(ViewEvents{});
                             reply.freshness = mirror.freshness();
-                            respond(std::move(reply));
+                            respond(std::move(reply), message.size());
                         });
                 });
             });
@@ -243,15 +243,14 @@
 {
     balance::BalancerHooks result;
     result.probe = [this](Endpoint address, balance::BalancerHooks::ProbeHandler handler) {
-        const balance::ProbeResult outcome = this->hooks.connect(this->place(), address);
-        const bool silent = outcome == balance::ProbeResult::TimedOut;
-        const Duration time
-            = silent ? internal::simulatedProbeTimeout : Duration(std::chrono::milliseconds(1));
-        this->surroundings.loop.after(
-            time, [this, outcome, number = this->processNumber, handler = std::move(handler)] {
-                if (number == this->processNumber)
-                    this->post([handler, outcome] { handler(outcome); });
-            });
+        const auto finish = [this, number = this->processNumber, handler = std::move(handler),
+                             done = std::make_shared<bool>(false)](balance::ProbeResult outcome) {
+            if (number == this->processNumber && !std::exchange(*done, true))
+                this->post([handler, outcome] { handler(outcome); });
+        };
+        this->surroundings.loop.after(internal::simulatedProbeTimeout,
+                                      [finish] { finish(balance::ProbeResult::TimedOut); });
+        this->hooks.connect(this->place(), address, finish);
     };
     result.resetCaller = [this](const balance::FlowPacket &flow) {
         const platform::ResetBytes bytes = platform::encodeReset(flow);
--- a/src/simulation/SimulatedInstance.h
+++ b/src/simulation/SimulatedInstance.h
@@ -31,8 +31,10 @@
     /** Sends a reset to a caller. */
     std::function<void(const SimulatedInstance &from, Bytes packet)> toCaller;
 
-    /** \returns what a connection from \a from to an address would come to. */
-    std::function<balance::ProbeResult(const Place &from, Endpoint address)> connect;
+    /** Connects to an address; \a handler gets the other end's answer, if there is one. */
+    std::function<void(const Place &from, Endpoint address,
+                       balance::BalancerHooks::ProbeHandler handler)>
+        connect;
 
     /** A decision on a packet, for checks. */
     std::function<void(const SimulatedInstance &from, const balance::FlowPacket &packet,
--- a/src/simulation/SimulatedStore.cpp
+++ b/src/simulation/SimulatedStore.cpp
@@ -10,6 +10,15 @@
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 constexpr Duration storeWatchMargin = std::chrono::milliseconds(400);
 
+/** Sizes of an answer of the store without objects, and of an object in it. */
+constexpr std::size_t storeAnswerBytes = 200;
+constexpr std::size_t storeObjectBytes = 300;
+
+std::size_t answerBytes(std::size_t objects)
+{
+    return storeAnswerBytes + objects * storeObjectBytes;
+}
+
 const Place storePlace{Place::Role::Store, "", "store"};
 
 } // namespace internal
@@ -57,10 +66,13 @@
             if (weak.expired() || this->isSilent())
                 return;
             if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
-                return respond({refused, 0, {}});
+                return respond({refused, 0, {}}, internal::storeAnswerBytes);
             this->surroundings.loop.after(this->serviceTime(), [this, kind, weak, respond] {
-                if (!weak.expired())
-                    respond(this->surroundings.store.list(kind));
+                if (weak.expired())
+                    return;
+                ViewList list = this->surroundings.store.list(kind);
+                const std::size_t bytes = internal::answerBytes(list.objects.size());
+                respond(std::move(list), bytes);
             });
         });
 }
@@ -76,14 +88,15 @@
             if (weak.expired() || this->isSilent())
                 return;
             if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
-                return respond({refused, 0, {}});
+                return respond({refused, 0, {}}, internal::storeAnswerBytes);
             this->surroundings.store.watch(
                 kind, since, wait, [this, weak, respond](const ViewEvents &events) {
                     // A store that fell silent meanwhile lets the watch wait.
                     if (weak.expired() || this->isSilent())
                         return;
-                    this->surroundings.loop.after(this->serviceTime(),
-                                                  [respond, events] { respond(events); });
+                    this->surroundings.loop.after(this->serviceTime(), [respond, events] {
+                        respond(events, internal::answerBytes(events.events.size()));
+                    });
                 });
         });
 }
@@ -100,13 +113,14 @@
             if (weak.expired() || this->isSilent())
                 return;
             if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
-                return respond(refused);
+                return respond(refused, internal::storeAnswerBytes);
             const double lost = this->surroundings.storeFaults.lostWrites;
             const PlatformResult result = apply();
             if (lost > 0 && std::bernoulli_distribution(lost)(this->surroundings.random))
                 return;
-            this->surroundings.loop.after(this->serviceTime(),
-                                          [respond, result] { respond(result); });
+            this->surroundings.loop.after(this->serviceTime(), [respond, result] {
+                respond(result, internal::storeAnswerBytes);
+            });
         });
 }
 
--- a/src/simulation/Surroundings.h
+++ b/src/simulation/Surroundings.h
@@ -5,6 +5,7 @@
 #include "simulation/Links.h"
 #include "simulation/StoreFaults.h"
 #include "simulation/StoreModel.h"
+#include "simulation/Transport.h"
 
 namespace bulrushgap::simulation {
 
@@ -15,6 +16,7 @@
         : random(seed)
         , scheduler(this->loop.scheduler())
         , links(delays, this->random)
+        , transport(this->loop, this->links)
         , store(this->scheduler, storeHistory)
     {}
     Surroundings(const Surroundings &) = delete;
@@ -24,6 +26,7 @@
     Random random;
     Scheduler scheduler;
     Links links;
+    Transport transport;
     StoreModel store;
     StoreFaults storeFaults;
 };
--- a/src/simulation/WirePacket.cpp
+++ b/src/simulation/WirePacket.cpp
@@ -56,6 +56,11 @@
     return std::max(1U, static_cast<std::uint32_t>(sum));
 }
 
+std::size_t WirePacket::size() const
+{
+    return internal::headerBytes + this->data.size();
+}
+
 Bytes WirePacket::toBytes()
 {
     this->seal = this->expectedSeal();
@@ -63,7 +68,7 @@
         = (this->syn ? internal::synFlag : 0U) | (this->ack ? internal::ackFlag : 0U)
           | (this->fin ? internal::finFlag : 0U) | (this->rst ? internal::rstFlag : 0U);
     Bytes bytes;
-    bytes.reserve(internal::headerBytes + this->data.size());
+    bytes.reserve(this->size());
     appendBigEndian(bytes, this->sequence, 4);
     appendBigEndian(bytes, this->acknowledged, 4);
     appendBigEndian(bytes, flags, 1);
--- a/src/simulation/WirePacket.h
+++ b/src/simulation/WirePacket.h
@@ -29,6 +29,9 @@
 
     [[nodiscard]] std::uint32_t expectedSeal() const;
 
+    /** \returns the number of its bytes. */
+    [[nodiscard]] std::size_t size() const;
+
     /** \brief Seals the packet. \returns its bytes. */
     [[nodiscard]] Bytes toBytes();
 
--- a/tests/Experiment.cpp
+++ b/tests/Experiment.cpp
@@ -17,6 +17,7 @@
 boost::json::object validExperiment()
 {
     return boost::json::parse(R"({
+      "instanceLinks": [{"instances": 3, "mbps": 10}],
       "services": [{"name": "feed"}],
       "classes": [{"name": "read", "route": "198.18.0.1:80", "service": "feed"}],
       "faults": [{"kind": "domain-cut", "atMs": 3000}]})")
@@ -60,6 +61,8 @@
         std::string path;
     };
     const auto each = GENERATE(values<Case>({
+        {"instanceLinks", "mbps", 0, "instanceLinks[0].mbps"},
+        {"instanceLinks", "instances", 4, "instanceLinks"},
         {"services", "slots", 0, "services[0].slots"},
         {"services", "name", nullptr, "services[0].name"},
         {"classes", "route", "198.18.0.1", "classes[0].route"},
--- a/tests/support/LargeDeployment.cpp
+++ b/tests/support/LargeDeployment.cpp
@@ -53,10 +53,13 @@
     };
     result.toCaller = [](const SimulatedInstance &, const Bytes &) {
     };
-    result.connect = [this](const Place &, Endpoint address) {
+    result.connect = [this](const Place &from, Endpoint address,
+                            balance::BalancerHooks::ProbeHandler handler) {
         const std::uint32_t index = address.address - network;
         const bool runs = index < this->instances.size() && this->instances[index]->isRunning();
-        return runs ? balance::ProbeResult::Connected : balance::ProbeResult::Refused;
+        const auto result = runs ? balance::ProbeResult::Connected : balance::ProbeResult::Refused;
+        this->surroundings.transport.probe(
+            from, {}, [result, handler = std::move(handler)] { handler(result); });
     };
     result.onDecision = [](const SimulatedInstance &, const balance::FlowPacket &,
                            const balance::SteeringDecision &) {
