Simulation: overloaded upstreams refuse probes

Upstreams of the model accepted each probe while they lived; the hosts of the users reset connections when they are overloaded. With connectionLimit, a field of a service, an upstream refuses probes while the requests that run, wait or were shed in the last 0.5 s reach it. One with as many flows as it takes (2,000) refuses them as well, also without a limit.

--- a/src/simulation/Experiment.cpp
+++ b/src/simulation/Experiment.cpp
@@ -35,11 +35,12 @@
     {"queueBytes", FieldType::Integer, "bytes", "256000", 1'500, 100'000'000, "", "datagrams that find more bytes waiting are lost"},
 }};
 
-constexpr std::array<Field, 4> serviceFields{{
+constexpr std::array<Field, 5> serviceFields{{
     {"name", FieldType::Name, "", "", 1, 40, "", "name"},
     {"upstreamsPerDomain", FieldType::Integer, "", "4", 0, 1'000, "", "upstreams in each domain"},
     {"slots", FieldType::Integer, "", "2", 1, 1'000, "", "requests that an upstream runs at the same time"},
     {"coldRequestsPerSecond", FieldType::Number, "1/s", "0", 0, 1'000'000, "", "what a cold upstream bears; 0 for no limit"},
+    {"connectionLimit", FieldType::Integer, "", "0", 0, 100'000, "", "requests at an upstream from which on it refuses probes; 0 for no limit"},
 }};
 
 constexpr std::array<Field, 12> classFields{{
@@ -145,7 +146,8 @@
     for (const SettingsView &each : entries(settings, "services", serviceFields, faults))
         result.run.services.push_back(
             {each.text("name"), static_cast<unsigned>(each.integer("upstreamsPerDomain")),
-             static_cast<unsigned>(each.integer("slots")), each.number("coldRequestsPerSecond")});
+             static_cast<unsigned>(each.integer("slots")), each.number("coldRequestsPerSecond"),
+             static_cast<unsigned>(each.integer("connectionLimit"))});
     for (const SettingsView &each : entries(settings, "classes", classFields, faults))
         result.run.classes.push_back(requestClassOf(each));
     for (const SettingsView &each : entries(settings, "faults", faultFields(), faults))
--- a/src/simulation/Run.cpp
+++ b/src/simulation/Run.cpp
@@ -294,6 +294,7 @@
     this->report.addCounter("probe", 1);
     Place target;
     bool runs = false;
+    bool overloaded = false;
     if (const SimulatedInstance *instance = this->instanceAt(address)) {
         target = instance->place();
         runs = instance->isRunning();
@@ -301,12 +302,15 @@
         const FleetMember &member = this->fleet.member(*owner);
         target = member.place();
         runs = member.model != nullptr;
+        overloaded = runs && member.model->refusesConnections();
     } else {
         return;
     }
     if (!this->surroundings.links.connected(from, target))
         return;
-    const ProbeResult result = runs ? ProbeResult::Connected : ProbeResult::Refused;
+    if (overloaded)
+        this->report.addCounter("probe_refused_by_overload", 1);
+    const ProbeResult result = runs && !overloaded ? ProbeResult::Connected : ProbeResult::Refused;
     this->surroundings.transport.probe(from, target,
                                        [handler = std::move(handler), result] { handler(result); });
 }
--- a/src/simulation/RunSettings.h
+++ b/src/simulation/RunSettings.h
@@ -35,6 +35,7 @@
     unsigned upstreamsPerDomain = 4;
     unsigned slots = 2;
     double coldRequestsPerSecond = 0.0; //!< 0: a cold upstream has no limit.
+    unsigned connectionLimit = 0;       //!< Load from which on connections are refused; 0: never.
 };
 
 /** \brief Instances of each failure domain whose links are alike. */
--- a/src/simulation/UpstreamFleet.cpp
+++ b/src/simulation/UpstreamFleet.cpp
@@ -62,13 +62,22 @@
     member.entry.state = balance::UpstreamState::Ready;
     member.leavingAckedAt.reset();
     member.model = std::make_unique<UpstreamModel>(this->surroundings.scheduler, member.entry,
-                                                   UpstreamLimits{}, this->surroundings.random,
-                                                   this->hooks(number));
+                                                   this->limitsOf(member.entry.service),
+                                                   this->surroundings.random, this->hooks(number));
     this->byAddress[member.entry.address] = number;
     this->pending.push_back(this->surroundings.scheduler.after(
         internal::registrationDelay, [this, number] { this->enter(number); }));
 }
 
+UpstreamLimits UpstreamFleet::limitsOf(const std::string &service) const
+{
+    UpstreamLimits limits;
+    const auto found = std::ranges::find(this->settings.services, service, &ServiceSettings::name);
+    if (found != this->settings.services.end())
+        limits.connections = found->connectionLimit;
+    return limits;
+}
+
 void UpstreamFleet::enter(std::size_t number)
 {
     FleetMember &member = this->members.at(number);
--- a/src/simulation/UpstreamFleet.h
+++ b/src/simulation/UpstreamFleet.h
@@ -74,6 +74,7 @@
 
 private:
     void launch(std::size_t number, bool cold);
+    [[nodiscard]] UpstreamLimits limitsOf(const std::string &service) const;
     void enter(std::size_t number);
     void renewLeases();
 
--- a/src/simulation/UpstreamModel.cpp
+++ b/src/simulation/UpstreamModel.cpp
@@ -11,6 +11,9 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusShed = 503;
 
+/** A request that was shed counts as load for this long: its connection is still open. */
+constexpr Duration shedLinger = std::chrono::milliseconds(500);
+
 } // namespace internal
 
 UpstreamModel::UpstreamModel(const Scheduler &scheduler, balance::UpstreamEntry entry,
@@ -31,6 +34,16 @@
            && this->scheduler.now() < this->startedAt + this->limits.coldTime;
 }
 
+bool UpstreamModel::refusesConnections()
+{
+    const TimePoint now = this->scheduler.now();
+    while (!this->recentSheds.empty() && now - this->recentSheds.front() > internal::shedLinger)
+        this->recentSheds.pop_front();
+    const std::size_t load = this->running.size() + this->queue.size() + this->recentSheds.size();
+    const bool overloaded = this->limits.connections > 0 && load >= this->limits.connections;
+    return overloaded || this->flows.size() >= this->limits.flows;
+}
+
 bool UpstreamModel::holds(Endpoint caller, Endpoint route) const
 {
     const auto found = this->flows.find({caller, route});
@@ -138,6 +151,7 @@
         this->queue.push_back({key, request});
     } else {
         ++this->shedCount;
+        this->recentSheds.push_back(this->scheduler.now());
         this->reply(key, {internal::statusShed, request.id, {}, 0});
     }
 }
--- a/src/simulation/UpstreamModel.h
+++ b/src/simulation/UpstreamModel.h
@@ -18,8 +18,9 @@
 
 struct UpstreamLimits
 {
-    unsigned queue = 8;     //!< Requests that wait for a slot; more are shed.
-    unsigned flows = 2'000; //!< SYNs beyond this are ignored.
+    unsigned queue = 8;       //!< Requests that wait for a slot; more are shed.
+    unsigned flows = 2'000;   //!< SYNs beyond this are ignored.
+    unsigned connections = 0; //!< Load from which on connections are refused; 0 for no limit.
     unsigned retransmissions = 8;
     Duration coldTime = std::chrono::seconds(2);
     double coldFactor = 1.6; //!< A cold upstream takes this much longer for a request.
@@ -70,6 +71,9 @@
 
     [[nodiscard]] const balance::UpstreamEntry &entry() const { return this->description; }
     [[nodiscard]] bool isCold() const;
+
+    /** \returns whether it resets new connections at once, because it is overloaded. */
+    [[nodiscard]] bool refusesConnections();
     [[nodiscard]] bool holds(Endpoint caller, Endpoint route) const;
     [[nodiscard]] std::size_t flowCount() const { return this->flows.size(); }
     [[nodiscard]] std::uint64_t runs() const { return this->runCount; }
@@ -128,6 +132,7 @@
     std::uint64_t nextJob = 0;
     std::uint64_t runCount = 0;
     std::uint64_t shedCount = 0;
+    std::deque<TimePoint> recentSheds;
     double slowness = 1.0;
     double hangShare = 0.0;
     bool draining = false;
--- a/tests/Experiment.cpp
+++ b/tests/Experiment.cpp
@@ -64,6 +64,7 @@
         {"instanceLinks", "mbps", 0, "instanceLinks[0].mbps"},
         {"instanceLinks", "instances", 4, "instanceLinks"},
         {"services", "slots", 0, "services[0].slots"},
+        {"services", "connectionLimit", -1, "services[0].connectionLimit"},
         {"services", "name", nullptr, "services[0].name"},
         {"classes", "route", "198.18.0.1", "classes[0].route"},
         {"classes", "kind", "sometimes", "classes[0].kind"},
--- a/tests/SimulatedRun.cpp
+++ b/tests/SimulatedRun.cpp
@@ -65,6 +65,16 @@
     checkReport(simulate(settings, faults, 1), settings);
 }
 
+// Guards against a model whose upstreams refuse no probe, or refuse probes without a limit.
+TEST_CASE("Overloaded upstreams refuse probes beyond their limit", "[SimulatedRun]")
+{
+    const auto limit = GENERATE(0U, 10U);
+    const std::vector<PlannedFault> faults{{FaultKind::Burst, faultStart, 6s, 1.0}};
+    const RunReport report = simulate(overloadableRunSettings(limit), faults, 1);
+    INFO(report.toText());
+    CHECK((report.counter("probe_refused_by_overload") > 0) == (limit > 0));
+}
+
 // Guards against an input that the seed does not determine, which would make findings unrepeatable.
 TEST_CASE("A run is determined by its seed", "[SimulatedRun]")
 {
--- a/tests/support/SimulatedRuns.h
+++ b/tests/support/SimulatedRuns.h
@@ -23,6 +23,19 @@
     return settings;
 }
 
+/** \returns a deployment with 60 % of the load that it bears; in a burst, 180 %.
+ * \param connectionLimit load from which on its upstreams refuse probes; 0 for no limit */
+inline simulation::RunSettings overloadableRunSettings(unsigned connectionLimit)
+{
+    simulation::RunSettings settings = sampleRunSettings(std::chrono::seconds(12));
+    settings.services = {{"dispatch", 5, 2, 0.0, connectionLimit}};
+    settings.classes.resize(1);
+    settings.classes[0].perSecond = 40;
+    settings.classes[0].workTime = std::chrono::milliseconds(150);
+    settings.classes[0].deadline = std::chrono::seconds(3);
+    return settings;
+}
+
 inline simulation::RunReport simulate(const simulation::RunSettings &settings,
                                       const std::vector<simulation::PlannedFault> &faults,
                                       std::uint64_t seed)
