Failing tests: resets of open flows by evidence that is late, old or missing

Two probes that were lost in 60 ms of congestion count as timeouts because of a reference that is reached after it. A late copy of a SYN resets a flow that this instance forwards. An instance that reaches no upstream resets flows by a verdict of 5 s before. A registry read within the grace period counts as proof that an upstream is gone.

--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -595,3 +595,112 @@
     CHECK(taken <= 4 * 1.5 + 5);
     CHECK(taken >= 2);
 }
+
+// Guards against a short congestion that loses the probes of an upstream: a reference that is
+// reached after it says nothing of the time in which they were lost.
+TEST_CASE("a reference that is reached later proves no earlier probe", "[PacketSteering]")
+{
+    struct Case
+    {
+        const char *what;
+        int congestedMs; //!< From the suspicion of the first upstream on.
+    };
+    const auto test = GENERATE(values<Case>({
+        {"both probes are lost, the next reference is reached", 60},
+        {"the congestion ends before the first probe times out", 100},
+    }));
+    INFO(test.what);
+    SteeringFixture fixture;
+    for (const char *name : {"a-1", "a-2", "a-3"})
+        fixture.addUpstream(name, "a");
+    const std::uint32_t first = fixture.tagOf(0);
+    const std::uint32_t second = fixture.tagOf(1);
+    static_cast<void>(fixture.decide(data(caller(1), first, 100, 500, 0), 0));
+    static_cast<void>(fixture.decide(data(caller(2), second, 100, 500, 0), 0));
+    fixture.runUntil(990, {});
+    // Data that is repeated makes an upstream suspect at once.
+    static_cast<void>(fixture.decide(data(caller(1), first, 100, 500, 50), 990));
+    fixture.referenceReached = false;
+    fixture.runUntil(1'000, {});
+    static_cast<void>(fixture.decide(data(caller(1), first, 100, 500, 50), 1'000));
+    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut}};
+    fixture.runUntil(1'000 + test.congestedMs - 10, lost);
+    static_cast<void>(fixture.decide(data(caller(2), second, 100, 500, 50), fixture.now));
+    fixture.runUntil(1'000 + test.congestedMs, lost);
+    fixture.referenceReached = true;
+    static_cast<void>(fixture.decide(data(caller(2), second, 100, 500, 50), fixture.now));
+    // Only the two probes that started in the congestion are lost.
+    for (; fixture.now < 1'400 && fixture.resets.empty();) {
+        const bool isOver = fixture.now >= 1'170;
+        fixture.runUntil(fixture.now + 5, isOver ? std::map<UpstreamIndex, ProbeResult>{} : lost);
+    }
+    CHECK(fixture.resets.empty());
+}
+
+// Guards against an instance that refuses a delayed copy of a SYN although the flow is open.
+TEST_CASE("a late copy of a SYN resets no open flow", "[PacketSteering]")
+{
+    struct Case
+    {
+        const char *what;
+        bool isolated;
+        bool evacuated;
+    };
+    const auto test = GENERATE(values<Case>({
+        {"the instance reaches no upstream", true, false},
+        {"no upstream takes new flows", false, true},
+    }));
+    INFO(test.what);
+    SteeringFixture fixture;
+    fixture.addUpstream("a-1", "a");
+    fixture.addUpstream("b-1", "b");
+    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut},
+                                                    {1, ProbeResult::TimedOut}};
+    const std::uint32_t tag = fixture.tagOf(0);
+    fixture.referenceReached = !test.isolated;
+    if (test.isolated) {
+        static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
+        static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 5));
+        fixture.runUntil(2'500, lost);
+    }
+    fixture.directory.setEvacuated("a", test.evacuated);
+    fixture.directory.setEvacuated("b", test.evacuated);
+    // Another instance placed the flow; its packets and the copy of its SYN come through this one.
+    CHECK(fixture.decide(data(caller(2), tag, 100, 500, 50), 2'500).action == Action::Forward);
+    CHECK(fixture.decide(syn(caller(2), 1), 2'505).action != Action::Reset);
+}
+
+// Guards against an instance that is cut off and resets flows by a verdict that it can't renew.
+TEST_CASE("an instance that reaches no upstream resets no flow", "[PacketSteering]")
+{
+    SteeringFixture fixture;
+    fixture.addUpstream("a-1", "a");
+    fixture.addUpstream("a-2", "a");
+    const std::uint32_t tag = fixture.tagOf(0);
+    static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
+    static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 5));
+    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut},
+                                                    {1, ProbeResult::TimedOut}};
+    fixture.runUntil(1'000, lost);
+    CHECK(fixture.resets.size() == 1);
+    fixture.referenceReached = false;
+    fixture.runUntil(6'000, lost);
+    REQUIRE(fixture.steering.failureDetector().reachesNoUpstream(at(6'000)));
+    const auto decision = fixture.decide(data(caller(2), tag, 100, 500, 50), 6'000);
+    CHECK(decision.action != Action::Reset);
+}
+
+// Guards against resets of flows whose upstream has not registered again yet: an instance starts
+// shortly after an outage of the registry in which the entries of live upstreams expired.
+TEST_CASE("a registry read within the grace period proves no upstream gone", "[PacketSteering]")
+{
+    SteeringFixture fixture;
+    fixture.addUpstream("a-1", "a");
+    fixture.directory.registryRecovered(at(0));
+    const FlowPacket packet = data(caller(1), 0x1234'5678, 100, 500, 50);
+    CHECK(fixture.decide(packet, 100).reason == SteeringReason::AwaitingView);
+    fixture.steering.registryVerified(at(200));
+    CHECK(fixture.decide(packet, 300).action != Action::Reset);
+    fixture.steering.registryVerified(at(2'300));
+    CHECK(fixture.decide(packet, 2'400).reason == SteeringReason::UnknownUpstream);
+}
