Ask an instance of a domain before refusals count as proof

In a burst overloaded upstreams refuse connections beyond their limit, and those of a domain with a single service all do, so that two refusals and a neighbour's prove a live upstream down and its flows are reset. Change: with the neighbours, an instance of their domain is connected to. A partition concerns it as well; if it is reached, the domain is not partitioned, and refusals prove nothing.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -104,6 +104,9 @@
     result.startReferenceProbe = [this](UpstreamIndex upstream) {
         this->startReferenceProbe(upstream);
     };
+    result.startInstanceProbe = [this](DomainIndex domain) {
+        this->startInstanceProbe(domain);
+    };
     result.onLivenessChange
         = [this](UpstreamIndex upstream, Liveness before, std::string_view evidence) {
               this->onLivenessChange(upstream, before, evidence);
@@ -268,6 +271,20 @@
     });
 }
 
+void Balancer::startInstanceProbe(DomainIndex domain)
+{
+    const auto peer
+        = this->sources.instanceIn(this->directory.domainName(domain), this->instanceProbes++);
+    if (!peer)
+        return;
+    this->counters.add("probe_instance");
+    const TimePoint startedAt = this->scheduler.now();
+    this->connect(*peer, [this, domain, startedAt](bool connected) {
+        if (connected)
+            this->steering.onInstanceReached(domain, startedAt, this->scheduler.now());
+    });
+}
+
 void Balancer::start()
 {
     this->startedAt = this->scheduler.now();
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -149,6 +149,7 @@
     void connect(Endpoint peer, std::function<void(bool connected)> handler);
     void startProbe(UpstreamIndex upstream);
     void startReferenceProbe(UpstreamIndex upstream);
+    void startInstanceProbe(DomainIndex domain);
     [[nodiscard]] std::string_view notReadyReason() const;
     void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
                      std::span<const std::byte> datagram);
@@ -208,7 +209,8 @@
     TimePoint readyAt{};
     bool ready = false;
     bool stopping = false;
-    bool isolated = false; //!< Neither an upstream nor a source of the view is reached.
+    std::size_t instanceProbes = 0; //!< Selects another instance each time.
+    bool isolated = false;          //!< Neither an upstream nor a source of the view is reached.
     std::array<std::uint64_t, static_cast<std::size_t>(SteeringReason::Count)> decisions{};
 };
 
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -39,6 +39,10 @@
 
     /** A failure domain has become unreachable or reachable; may be empty. */
     std::function<void(const ReachabilityChange &change)> onReachabilityChange = {};
+
+    /** Connects to an instance of the failure domain; the result goes to
+     * FailureDetector::onInstanceReached. May be empty. */
+    std::function<void(DomainIndex domain)> startInstanceProbe = {};
 };
 
 /** \brief Monitors upstreams with an answer due, and probes those that are suspect.
@@ -76,6 +80,13 @@
     void onReferenceResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                            TimePoint now);
 
+    /** \brief Records that an instance of a failure domain was reached by a connection started at
+     * \a startedAt: the domain is not partitioned, though its upstreams may refuse connections. */
+    void onInstanceReached(DomainIndex domain, TimePoint startedAt, TimePoint now)
+    {
+        this->domains.onConnected(domain, startedAt, now);
+    }
+
     /** \brief Checks overdue answers and starts probes that are due.
      * \returns whether this process was paused, so that a missing answer is no evidence. */
     bool tick(TimePoint now);
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -77,7 +77,7 @@
                 [this](UpstreamIndex upstream, const Outage &outage, TimePoint now) {
                     this->coldStart.markReturned(upstream, outage, now);
                 },
-                this->hooks.onReachabilityChange},
+                this->hooks.onReachabilityChange, this->hooks.startInstanceProbe},
                settings.domain)
     , observer(settings.flowCapacity, directory, this->detector, this->hooks.latency)
     , placement(directory, this->detector.reachability(), std::move(settings.domain), random)
--- a/src/steering/PacketSteering.h
+++ b/src/steering/PacketSteering.h
@@ -37,6 +37,10 @@
      * the result goes to PacketSteering::onReferenceResult. */
     std::function<void(UpstreamIndex upstream)> startReferenceProbe;
 
+    /** Connects to an instance of a failure domain; the result goes to
+     * PacketSteering::onInstanceReached. May be empty. */
+    std::function<void(DomainIndex domain)> startInstanceProbe;
+
     /** The liveness of an upstream has changed. */
     std::function<void(UpstreamIndex upstream, Liveness before, std::string_view evidence)>
         onLivenessChange;
@@ -102,6 +106,11 @@
         this->detector.onReferenceResult(upstream, result, startedAt, now);
     }
 
+    void onInstanceReached(DomainIndex domain, TimePoint startedAt, TimePoint now)
+    {
+        this->detector.onInstanceReached(domain, startedAt, now);
+    }
+
     [[nodiscard]] const FailureDetector &failureDetector() const { return this->detector; }
 
     [[nodiscard]] const DomainReachability &reachability() const
--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -156,6 +156,16 @@
     return std::cmp_less(before, count);
 }
 
+std::optional<Endpoint> ViewSources::instanceIn(std::string_view domain, std::size_t number) const
+{
+    std::vector<Endpoint> found;
+    for (const Member &member : this->others) {
+        if (member.domain == domain)
+            found.push_back(member.peer);
+    }
+    return found.empty() ? std::nullopt : std::optional(found[number % found.size()]);
+}
+
 unsigned ViewSources::rankInDomain(std::string_view subject) const
 {
     const std::uint64_t own = hashOf(subject, this->self.name);
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -85,6 +85,11 @@
     /** \returns all known instances but this one; valid until the next update. */
     [[nodiscard]] std::span<const Member> otherInstances() const { return this->others; }
 
+    /** \returns another instance of a failure domain, in turn by \a number; nothing if there is
+     * none. */
+    [[nodiscard]] std::optional<Endpoint> instanceIn(std::string_view domain,
+                                                     std::size_t number) const;
+
     /** \returns how many instances of the domain rendezvous hashing selects before this one. */
     [[nodiscard]] unsigned rankInDomain(std::string_view subject) const;
 
