Take only references of the same time as evidence

A probe without an answer counted as a timeout beside any reference that connected later, so a short congestion that lost two probes proved a live upstream down as soon as it ended. A reference that connects slowly shows the congestion itself. Change: ReferenceHistory; a reference counts for probes that start within 30 ms of it, and if it connected within 50 ms. The verdict on a domain follows the same rule.

--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -75,7 +75,7 @@
         this->onConnected(upstream, startedAt, now);
         return;
     }
-    if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
+    if (result == ProbeResult::TimedOut && !this->domains.references().hasNear(startedAt))
         return;
     const Upstream &subject = this->directory.at(upstream);
     this->domains.onProbeFailed(subject.domainIndex,
@@ -91,17 +91,12 @@
     this->domains.onConnected(this->directory.at(upstream).domainIndex, startedAt, now);
 }
 
-bool FailureDetector::isReferenceReached(TimePoint startedAt) const
-{
-    return this->lastConnectedProbe + internal::referenceTolerance >= startedAt;
-}
-
 void FailureDetector::onProbeResult(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                                     TimePoint now)
 {
     if (result == ProbeResult::Connected)
         this->onConnected(upstream, startedAt, now);
-    if (result == ProbeResult::TimedOut && !this->isReferenceReached(startedAt))
+    if (result == ProbeResult::TimedOut && !this->domains.references().hasNear(startedAt))
         result = ProbeResult::Inconclusive;
     if (result == ProbeResult::Refused)
         this->discardUnprovenRefusals(upstream, now);
--- a/src/health/FailureDetector.h
+++ b/src/health/FailureDetector.h
@@ -116,7 +116,6 @@
     void probeReference(UpstreamIndex subject, TimePoint now);
     void probeNeighbours(UpstreamIndex subject, TimePoint since, TimePoint now);
     void onConnected(UpstreamIndex upstream, TimePoint startedAt, TimePoint now);
-    [[nodiscard]] bool isReferenceReached(TimePoint startedAt) const;
     void onProbeFailed(UpstreamIndex upstream, ProbeResult result, TimePoint startedAt,
                        TimePoint now);
     void discardUnprovenRefusals(UpstreamIndex upstream, TimePoint now);
--- a/src/reachability/DomainReachability.cpp
+++ b/src/reachability/DomainReachability.cpp
@@ -16,9 +16,6 @@
  * milliseconds and go on answering its flows. */
 constexpr Duration minSilence = std::chrono::milliseconds(100);
 
-/** A connected probe shows that this instance was connected for probes started this much later. */
-constexpr Duration connectionValidity = std::chrono::milliseconds(30);
-
 /** A probe times out after 110 ms. If the domain is not unreachable by then, this instance may be
  * isolated, and no domain is better than another. */
 constexpr Duration maxDoubt = std::chrono::milliseconds(200);
@@ -37,8 +34,7 @@
 void DomainReachability::onConnected(DomainIndex domain, TimePoint startedAt, TimePoint now)
 {
     this->recordAnswer(domain, "probe_connected", now);
-    Domain &subject = this->entry(domain);
-    subject.connectedProbeAt = std::max(subject.connectedProbeAt, startedAt);
+    this->history.add(domain, startedAt, now);
     if (this->domainsWithFailures == 0)
         return;
     for (std::size_t other = 0; other < this->domains.size(); ++other)
@@ -169,7 +165,7 @@
     Domain &subject = this->domains[domain];
     const bool silent = now - subject.answeredAt >= internal::minSilence;
     if (subject.unreachable || !silent || !this->isProven(subject)
-        || !this->isConnectedBeside(subject))
+        || !this->history.hasNearOutside(domain, subject.lastFailureAt))
         return;
     const ReachabilityChange change{domain, true, "probes", subject.failedUpstreams,
                                     subject.answeredAt};
@@ -193,14 +189,6 @@
     return domain.size.services < 2 || hasFailedService(domain, domain.failed.front().service);
 }
 
-bool DomainReachability::isConnectedBeside(const Domain &domain) const
-{
-    return std::ranges::any_of(this->domains, [&](const Domain &other) {
-        return &other != &domain && !other.unreachable
-               && other.connectedProbeAt + internal::connectionValidity >= domain.lastFailureAt;
-    });
-}
-
 void DomainReachability::setUnreachable(DomainIndex domain, bool isUnreachable,
                                         const ReachabilityChange &change, TimePoint now)
 {
--- a/src/reachability/DomainReachability.h
+++ b/src/reachability/DomainReachability.h
@@ -4,6 +4,7 @@
 #include "directory/Upstream.h"
 #include "directory/UpstreamDirectory.h"
 #include "health/UpstreamHealth.h"
+#include "reachability/ReferenceHistory.h"
 
 #include <array>
 #include <cstddef>
@@ -101,6 +102,9 @@
 
     [[nodiscard]] std::size_t unreachableCount() const { return this->unreachable; }
 
+    /** \returns the recent probes that connected, of all domains. */
+    [[nodiscard]] const ReferenceHistory &references() const { return this->history; }
+
 private:
     struct FailedUpstream
     {
@@ -110,11 +114,10 @@
 
     struct Domain
     {
-        TimePoint answeredAt{};       //!< Last acknowledged answer or connected probe.
-        TimePoint connectedProbeAt{}; //!< Start of the latest probe that connected.
-        TimePoint probesStartedAt{};  //!< When several of its upstreams were probed.
-        TimePoint firstFailureAt{};   //!< Start of the first failed probe that counts.
-        TimePoint lastFailureAt{};    //!< Start of the last one.
+        TimePoint answeredAt{};      //!< Last acknowledged answer or connected probe.
+        TimePoint probesStartedAt{}; //!< When several of its upstreams were probed.
+        TimePoint firstFailureAt{};  //!< Start of the first failed probe that counts.
+        TimePoint lastFailureAt{};   //!< Start of the last one.
         std::array<FailedUpstream, requiredUpstreams>
             failed{}; //!< The first failedUpstreams are set.
         std::size_t failedUpstreams = 0;
@@ -132,11 +135,11 @@
     void clearFailures(Domain &domain);
     void evaluate(DomainIndex domain, TimePoint now);
     [[nodiscard]] bool isProven(const Domain &domain) const;
-    [[nodiscard]] bool isConnectedBeside(const Domain &domain) const;
     void setUnreachable(DomainIndex domain, bool unreachable, const ReachabilityChange &change,
                         TimePoint now);
 
     ChangeHandler onChange;
+    ReferenceHistory history;
     std::vector<Domain> domains;
     std::size_t domainsWithFailures = 0; //!< Domains with failed probes since their last answer.
     std::size_t unreachable = 0;         //!< Unreachable domains.
