Let no late copy of a SYN and no old verdict reset a flow

A delayed copy of a SYN was refused although the flow that it opened is forwarded by this instance, and a request on an open flow was reset by a verdict that the instance could not renew since it reached nobody. Change: a late copy goes to the flow's upstream; a refused copy goes to the upstream of the earlier one unless that is confirmed down; a verdict ends with a probe that proves nothing, and does not count while no upstream is reached. A test case opens its second flow on the same upstream again.

--- a/src/health/FailureDetector.cpp
+++ b/src/health/FailureDetector.cpp
@@ -247,13 +247,13 @@
         this->domains.onProbesStarted(domain, now);
     for (const UpstreamIndex neighbour : neighbours) {
         if (neighbour != noUpstream)
-    if (this->hooks.startInstanceProbe)
-        this->hooks.startInstanceProbe(domain);
             this->hooks.startReferenceProbe(neighbour);
     }
     const UpstreamIndex outside = this->domainProbes.outside(subject);
     if (outside != noUpstream)
         this->hooks.startReferenceProbe(outside);
+    if (this->hooks.startInstanceProbe)
+        this->hooks.startInstanceProbe(domain);
 }
 
 void FailureDetector::onReachabilityChange(const ReachabilityChange &change, TimePoint now)
--- a/src/health/UpstreamHealth.cpp
+++ b/src/health/UpstreamHealth.cpp
@@ -121,6 +121,11 @@
         break;
     case ProbeResult::Inconclusive:
         this->refusals = 0;
+        // A verdict that can't be renewed is no longer known to hold.
+        if (this->state == Liveness::Unreachable) {
+            this->state = Liveness::Suspect;
+            this->timeouts = 0;
+        }
         if (++this->inconclusive <= internal::confirmingTimeouts) {
             this->probeInterval = internal::minProbeInterval;
             this->scheduleAtOnce(now);
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -177,6 +177,9 @@
     FlowState *flow = this->observer.findOrAdd(id, now);
     if (flow == nullptr)
         return this->place(packet, route, nullptr, now);
+    const bool isLateCopy = flow->established && packet.acknowledged > 0;
+    if (isLateCopy && flow->upstream != noUpstream)
+        return internal::forward(SteeringReason::RepeatedSyn, flow->upstream, true);
     if (flow->established)
         this->observer.resetState(id, *flow, now);
     flow->lastSeen = now;
@@ -187,7 +190,12 @@
         return internal::forward(SteeringReason::RepeatedSyn, flow->upstream, true);
     if (repeated && this->directory.at(flow->upstream).health.lastAnswer() < flow->synSentAt)
         this->detector.markSuspect(flow->upstream, "syn_repeated", now);
+    const UpstreamIndex earlier = flow->upstream;
     SteeringDecision decision = this->place(packet, route, flow, now);
+    // The flow may be open at the earlier upstream, and its acknowledgment pass another instance.
+    if (repeated && decision.action == SteeringDecision::Action::Reset
+        && !this->directory.at(earlier).health.isConfirmedDown())
+        return internal::forward(SteeringReason::RepeatedSyn, earlier, true);
     if (repeated && decision.action == SteeringDecision::Action::Forward)
         decision.reason = SteeringReason::RepeatedSyn;
     return decision;
@@ -293,7 +301,8 @@
     this->observer.observe(packet, flow, upstream, now);
     const bool resettable = flow.idempotent && !packet.fin;
     const bool replaced = this->directory.isReplaced(upstream);
-    const bool dead = this->directory.at(upstream).health.isConfirmedDown();
+    const bool dead = this->directory.at(upstream).health.isConfirmedDown()
+                      && !this->detector.reachesNoUpstream(now);
     if (!resettable || !(replaced || (dead && flow.requestPending)))
         return internal::forward(SteeringReason::KnownUpstream, upstream, false);
     this->observer.remove({packet.caller, packet.route});
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -426,7 +426,7 @@
     fixture.addUpstream("a-2", "a");
     const UpstreamIndex upstream = fixture.openFlow(caller(1), 0);
     const std::uint32_t tag = fixture.tagOf(upstream);
-    static_cast<void>(fixture.openFlow(caller(2), 0));
+    static_cast<void>(fixture.decide(data(caller(2), tag, 100, 500, 0), 7));
     fixture.runUntil(1'000, {});
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 1'000));
     fixture.runUntil(1'600, {{upstream, ProbeResult::TimedOut}});
