Reset unknown flow tags only after the registry's grace period

After an outage in which entries lapsed, the registry is incomplete until live upstreams have registered again. A read of it within that time made the packets of flows to such upstreams be answered with a reset. They are dropped now until a read that began after the grace period.

--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -301,8 +301,11 @@
 {
     if (packet.rst || packet.fin || packet.flowTag == 0)
         return internal::drop(SteeringReason::StrayPacket);
-    // The upstream is gone: a registry read after the first packet of the flow did not list it.
-    if (flow != nullptr && flow->firstSeen < this->registryReadSince && flow->idempotent)
+    // The upstream is gone: a registry read after the first packet of the flow did not list it, and
+    // live upstreams had registered again by then if the registry had lost entries.
+    const bool complete = this->registryReadSince >= this->directory.graceEnd();
+    if (flow != nullptr && complete && flow->firstSeen < this->registryReadSince
+        && flow->idempotent)
         return internal::reset(SteeringReason::UnknownUpstream);
     this->hooks.verifyRegistry();
     return internal::drop(SteeringReason::AwaitingView);
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -472,6 +472,12 @@
     CHECK(fixture.decide(packet, 5'000).reason == SteeringReason::AwaitingView);
     fixture.steering.registryVerified(at(5'100));
     CHECK(fixture.decide(packet, 5'200).reason == SteeringReason::UnknownUpstream);
+    // A registry that has just returned may lack upstreams until they have registered again.
+    fixture.directory.registryRecovered(at(6'000));
+    fixture.steering.registryVerified(at(8'100));
+    CHECK(fixture.decide(packet, 9'000).reason == SteeringReason::AwaitingView);
+    fixture.steering.registryVerified(at(9'000));
+    CHECK(fixture.decide(packet, 9'100).reason == SteeringReason::UnknownUpstream);
     // Run-at-most-once requests are left to the caller's timeout.
     const FlowPacket booking = data(caller(2), 12'345, 1, 1, 50, bookingRoute);
     static_cast<void>(fixture.decide(booking, 5'000));
