--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -518,7 +518,7 @@
                                       {"service", entry.service},
                                       {"domain", entry.domain},
                                       {"address", entry.address.toString()},
-                                      {"revision", changed.revision},
+                                      {"revision", changed.revision.number},
                                       {"slow_start_ms", toMilliseconds(entry.slowStart)}});
 }
 
--- a/src/directory/Upstream.h
+++ b/src/directory/Upstream.h
@@ -7,6 +7,7 @@
 #include "directory/UpstreamEntry.h"
 #include "ejection/EjectionMark.h"
 #include "health/UpstreamHealth.h"
+#include "store/StoreRevision.h"
 
 #include <cstdint>
 #include <optional>
@@ -31,7 +32,7 @@
     bool registered = true;      //!< The registry has an entry for it.
     bool tagIsAmbiguous = false; //!< Another upstream has the same tag.
     TimePoint deregisteredAt{};
-    std::uint64_t revision = 0;           //!< Store revision of the entry.
+    StoreRevision revision;               //!< Of the entry.
     TimePoint coldUntil{};                //!< By its entry, or the return of its domain.
     std::optional<ColdReturn> coldReturn; //!< A return after which it may be cold.
     ColdStartBudget coldBudget;
--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -49,7 +49,8 @@
     this->extendGrace(now + internal::reregistrationGrace);
 }
 
-void UpstreamDirectory::replaceAll(std::span<const RegistryEntry> entries, TimePoint now)
+void UpstreamDirectory::replaceAll(std::span<const RegistryEntry> entries, TimePoint now,
+                                   RegistryOrigin origin)
 {
     std::set<std::string_view> names;
     for (const RegistryEntry &entry : entries)
@@ -59,16 +60,18 @@
         if (upstream.registered && !names.contains(upstream.entry.name))
             this->deregister(index, now);
     }
+    this->outdated.clear();
     for (const RegistryEntry &entry : entries)
-        this->apply(entry, now);
+        this->apply(entry, now, origin);
     this->rebuildCandidates();
 }
 
-void UpstreamDirectory::update(std::span<const RegistryChange> changes, TimePoint now)
+void UpstreamDirectory::update(std::span<const RegistryChange> changes, TimePoint now,
+                               RegistryOrigin origin)
 {
     for (const RegistryChange &change : changes) {
         if (change.entry)
-            this->apply({*change.entry, change.revision}, now);
+            this->apply({*change.entry, change.revision}, now, origin);
         else
             this->remove(change.name, change.revision, now);
     }
@@ -76,13 +79,47 @@
         this->rebuildCandidates();
 }
 
-void UpstreamDirectory::apply(const RegistryEntry &entry, TimePoint now)
+void UpstreamDirectory::apply(const RegistryEntry &entry, TimePoint now, RegistryOrigin origin)
 {
     const auto found = this->byName.find(entry.entry.name);
-    if (found == this->byName.end())
+    if (found == this->byName.end()) {
         this->add(entry, now);
-    else
-        this->replace(found->second, entry, now);
+        return;
+    }
+    const UpstreamIndex index = found->second;
+    if (origin == RegistryOrigin::Copy && this->isOutdated(index, entry.entry)) {
+        this->outdated.insert_or_assign(index, entry);
+        return;
+    }
+    this->outdated.erase(index);
+    this->replace(index, entry, now);
+}
+
+bool UpstreamDirectory::isOutdated(UpstreamIndex index, const UpstreamEntry &entry) const
+{
+    const Upstream &upstream = this->upstreams[index];
+    if (upstream.entry.startedAtMs != entry.startedAtMs)
+        return false;
+    const bool left = !upstream.registered && !this->inGracePeriod.contains(index);
+    const bool drains = upstream.entry.state == UpstreamState::Draining;
+    return left || (drains && entry.state == UpstreamState::Ready);
+}
+
+std::optional<RegistryEntry> UpstreamDirectory::listedEntry(UpstreamIndex index) const
+{
+    const auto found = this->outdated.find(index);
+    if (found != this->outdated.end())
+        return found->second;
+    const Upstream &upstream = this->upstreams[index];
+    if (!upstream.registered)
+        return std::nullopt;
+    return RegistryEntry{upstream.entry, upstream.revision};
+}
+
+void UpstreamDirectory::applyOutdated(TimePoint now)
+{
+    for (const auto &[index, entry] : std::exchange(this->outdated, {}))
+        this->replace(index, entry, now);
 }
 
 void UpstreamDirectory::add(const RegistryEntry &entry, TimePoint now)
@@ -113,7 +150,7 @@
 void UpstreamDirectory::replace(UpstreamIndex index, const RegistryEntry &entry, TimePoint now)
 {
     Upstream &upstream = this->upstreams[index];
-    if (entry.revision != 0 && entry.revision < upstream.revision)
+    if (entry.revision.number != 0 && entry.revision < upstream.revision)
         return;
     const bool wasRegistered = std::exchange(upstream.registered, true);
     this->inGracePeriod.erase(index);
@@ -146,12 +183,15 @@
     }
 }
 
-void UpstreamDirectory::remove(std::string_view name, std::uint64_t revision, TimePoint now)
+void UpstreamDirectory::remove(std::string_view name, StoreRevision revision, TimePoint now)
 {
     const auto found = this->byName.find(name);
-    if (found == this->byName.end() || !this->upstreams[found->second].registered)
+    if (found == this->byName.end())
+        return;
+    this->outdated.erase(found->second);
+    if (!this->upstreams[found->second].registered)
         return;
-    if (revision != 0 && revision < this->upstreams[found->second].revision)
+    if (revision.number != 0 && revision < this->upstreams[found->second].revision)
         return;
     this->deregister(found->second, now);
 }
@@ -169,9 +209,11 @@
 void UpstreamDirectory::expire(TimePoint now)
 {
     this->discardDeparted(now);
-    if (this->inGracePeriod.empty() || now < this->graceEndsAt)
+    const bool pending = !this->inGracePeriod.empty() || !this->outdated.empty();
+    if (!pending || now < this->graceEndsAt)
         return;
     this->inGracePeriod.clear();
+    this->applyOutdated(now);
     this->rebuildCandidates();
 }
 
@@ -195,6 +237,7 @@
     if (tagged != this->byTag.end() && tagged->second == index)
         this->byTag.erase(tagged);
     this->inGracePeriod.erase(index);
+    this->outdated.erase(index);
     upstream = Upstream{};
     upstream.registered = false;
     this->freeIndexes.push_back(index);
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -22,17 +22,23 @@
 struct RegistryEntry
 {
     UpstreamEntry entry;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
 };
 
 /** \brief Change of one registry entry. */
 struct RegistryChange
 {
     std::string name;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::optional<UpstreamEntry> entry; //!< Empty if the entry was removed or is malformed.
 };
 
+/** \brief Where registry entries come from. */
+enum class RegistryOrigin {
+    Current, //!< The registry as it is.
+    Copy,    //!< The registry just after its return from a copy: it may list again what has left.
+};
+
 /** \brief Change of an upstream in the directory, for the log. */
 struct DirectoryChange
 {
@@ -51,7 +57,9 @@
  *
  * A deregistered upstream takes no new flows, but stays known for longer than the longest flow, so
  * that its flows still reach it; afterwards its index may be reused. Entries that expire during a
- * registry outage stay usable for a grace period.
+ * registry outage stay usable for a grace period. During that of a registry that returns from a
+ * copy, an upstream that this instance knows to drain or to have left does so whatever the copy
+ * lists.
  */
 class UpstreamDirectory
 {
@@ -71,10 +79,12 @@
     [[nodiscard]] TimePoint graceEnd() const { return this->graceEndsAt; }
 
     /** \brief Replaces all entries. */
-    void replaceAll(std::span<const RegistryEntry> entries, TimePoint now);
+    void replaceAll(std::span<const RegistryEntry> entries, TimePoint now,
+                    RegistryOrigin origin = RegistryOrigin::Current);
 
     /** \brief Applies changes in order; changes older than the known revision are ignored. */
-    void update(std::span<const RegistryChange> changes, TimePoint now);
+    void update(std::span<const RegistryChange> changes, TimePoint now,
+                RegistryOrigin origin = RegistryOrigin::Current);
 
     /** \brief Ends an elapsed grace period and discards upstreams that left long ago. */
     void expire(TimePoint now);
@@ -100,6 +110,11 @@
     [[nodiscard]] Upstream &at(UpstreamIndex index) { return this->upstreams[index]; }
     [[nodiscard]] const Upstream &at(UpstreamIndex index) const { return this->upstreams[index]; }
 
+    /** \returns the entry that the registry lists, also one of a copy that is held back, or
+     * nothing.
+     */
+    [[nodiscard]] std::optional<RegistryEntry> listedEntry(UpstreamIndex index) const;
+
     /** \returns the number of indexes; those of discarded upstreams have no name. */
     [[nodiscard]] std::size_t size() const { return this->upstreams.size(); }
     [[nodiscard]] std::size_t registeredCount() const;
@@ -115,10 +130,17 @@
 private:
     using Candidates = std::map<std::string, std::vector<UpstreamIndex>, std::less<>>;
 
-    void apply(const RegistryEntry &entry, TimePoint now);
+    void apply(const RegistryEntry &entry, TimePoint now, RegistryOrigin origin);
     void add(const RegistryEntry &entry, TimePoint now);
     void replace(UpstreamIndex index, const RegistryEntry &entry, TimePoint now);
-    void remove(std::string_view name, std::uint64_t revision, TimePoint now);
+
+    /** \returns whether the entry is that of an upstream which has begun to drain, or left, since.
+     */
+    [[nodiscard]] bool isOutdated(UpstreamIndex index, const UpstreamEntry &entry) const;
+
+    /** \brief Applies the entries of a copy that were held back. */
+    void applyOutdated(TimePoint now);
+    void remove(std::string_view name, StoreRevision revision, TimePoint now);
     void deregister(UpstreamIndex index, TimePoint now);
     void discardDeparted(TimePoint now);
     void discard(UpstreamIndex index);
@@ -138,6 +160,7 @@
     std::set<std::string, std::less<>> evacuated;
     std::vector<UpstreamIndex> freeIndexes; //!< Indexes of discarded upstreams.
     std::set<UpstreamIndex> inGracePeriod;  //!< Deregistered after an outage, still usable.
+    std::map<UpstreamIndex, RegistryEntry> outdated; //!< Of a copy; applied after the grace.
     TimePoint graceEndsAt{};
 };
 
--- a/src/role/ObjectFeed.cpp
+++ b/src/role/ObjectFeed.cpp
@@ -45,12 +45,12 @@
             if (event.value)
                 objects.push_back({event.key, event.version, *event.value});
         }
-        this->view.applyList(internal::allObjectsPrefix, update.revision, objects);
+        this->view.applyList(internal::allObjectsPrefix, update.revision.number, objects);
         return;
     }
     for (const auto &event : update.events)
         this->view.apply(event.key, event.version, event.value);
-    this->view.advance(internal::allObjectsPrefix, update.revision);
+    this->view.advance(internal::allObjectsPrefix, update.revision.number);
 }
 
 } // namespace bulrushgap
--- a/src/role/PeerViewClient.cpp
+++ b/src/role/PeerViewClient.cpp
@@ -254,7 +254,7 @@
                              this->timeouts.idleTimeout});
 }
 
-void PeerViewClient::watchFor(balance::ViewKind kind, std::uint64_t since,
+void PeerViewClient::watchFor(balance::ViewKind kind, StoreRevision since,
                               std::chrono::milliseconds wait, WatchHandler handler)
 {
     this->counters.add("peer_watch");
--- a/src/role/PeerViewClient.h
+++ b/src/role/PeerViewClient.h
@@ -47,7 +47,7 @@
     ~PeerViewClient() override;
 
     void list(balance::ViewKind kind, ListHandler handler) override;
-    void watchFor(balance::ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+    void watchFor(balance::ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override;
     void dropWatches() override;
     void exchange(const balance::OutcomeRequest &request,
--- a/src/service/HttpClient.cpp
+++ b/src/service/HttpClient.cpp
@@ -259,6 +259,8 @@
     auto response = pending->parser->release();
     HttpOutcome outcome{HttpFailure::None, response.result_int(), std::move(response.body()), {}};
     outcome.etag = std::string(response[http::field::etag]);
+    if (!pending->call.answerHeader.empty())
+        outcome.header = std::string(response[pending->call.answerHeader]);
     if (response.keep_alive() && pending->connection->buffer.size() == 0) {
         pending->connection->reused = true;
         pending->connection->stream.expires_never();
--- a/src/service/HttpClient.h
+++ b/src/service/HttpClient.h
@@ -27,6 +27,8 @@
 
     /** Timeout of connecting; \a timeout limits it as well. */
     std::chrono::milliseconds connectTimeout{2'000};
+
+    std::string answerHeader = {}; //!< Name of a header that the outcome tells; may be empty.
 };
 
 /** \brief Why a call has no response. */
@@ -42,6 +44,7 @@
     unsigned status = 0;
     std::string body;
     std::string etag;
+    std::string header = {}; //!< Value of HttpCall::answerHeader; empty if there is none.
 };
 
 struct HttpClientLimits
--- a/src/service/HttpMessage.h
+++ b/src/service/HttpMessage.h
@@ -35,12 +35,20 @@
     }
 };
 
+/** \brief Header of a reply. */
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
 struct HttpReply
 {
     unsigned status = 200;
     std::string body;
     std::string contentType = "application/json";
-    std::string etag;  //!< Sent as header ETag unless empty.
+    std::string etag;                     //!< Sent as header ETag unless empty.
+    std::vector<HttpHeader> headers = {}; //!< Further ones.
     bool drop = false; //!< Closes the connection without a response; for stand-ins.
 
     /** \returns a reply that closes the connection without a response. */
--- a/src/service/HttpServer.cpp
+++ b/src/service/HttpServer.cpp
@@ -162,6 +162,8 @@
     this->response.set(http::field::content_type, reply.contentType);
     if (!reply.etag.empty())
         this->response.set(http::field::etag, '"' + reply.etag + '"');
+    for (const HttpHeader &header : reply.headers)
+        this->response.set(header.name, header.value);
     this->response.keep_alive(this->parser->get().keep_alive());
     this->response.body() = std::move(reply.body);
     this->response.prepare_payload();
--- a/src/simulation/SimulatedInstance.cpp
+++ b/src/simulation/SimulatedInstance.cpp
@@ -54,7 +54,7 @@
             });
     }
 
-    void watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+    void watchFor(ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override
     {
         this->counters.add("peer_watch");
--- a/src/simulation/SimulatedStore.cpp
+++ b/src/simulation/SimulatedStore.cpp
@@ -65,7 +65,7 @@
         });
 }
 
-void SimulatedStore::watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+void SimulatedStore::watchFor(ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                               WatchHandler handler)
 {
     this->counters.add("store_watch");
@@ -78,10 +78,12 @@
             if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
                 return respond({refused, 0, {}});
             this->surroundings.store.watch(
-                kind, since, wait, [this, weak, respond](const ViewEvents &events) {
+                kind, since, wait, [this, since, weak, respond](ViewEvents events) {
                     // A store that fell silent meanwhile lets the watch wait.
                     if (weak.expired() || this->isSilent())
                         return;
+                    if (events.revision.era > since.era)
+                        events = {PlatformResult::Gone, {}, {}};
                     this->surroundings.loop.after(this->serviceTime(),
                                                   [respond, events] { respond(events); });
                 });
@@ -132,7 +134,7 @@
     });
 }
 
-void SimulatedStore::removeMember(std::string_view name, std::uint64_t revision,
+void SimulatedStore::removeMember(std::string_view name, StoreRevision revision,
                                   WriteHandler handler)
 {
     this->write(std::move(handler), [this, name = std::string(name), revision] {
@@ -140,7 +142,7 @@
         const auto known = store.revisionOf(ViewKind::Members, name);
         if (!known)
             return PlatformResult::NotFound;
-        if (*known != revision)
+        if (*known != revision.number || revision.era != store.era())
             return PlatformResult::Conflict;
         store.remove(ViewKind::Members, name);
         return PlatformResult::Ok;
--- a/src/simulation/SimulatedStore.h
+++ b/src/simulation/SimulatedStore.h
@@ -16,13 +16,13 @@
     SimulatedStore(Surroundings &surroundings, Place client, Post post, Counters &counters);
 
     void list(ViewKind kind, ListHandler handler) override;
-    void watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+    void watchFor(ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override;
     void dropWatches() override { this->watchesAlive = std::make_shared<bool>(true); }
 
     void createMember(const balance::Member &member, WriteHandler handler) override;
     void replaceMember(const balance::Member &member, WriteHandler handler) override;
-    void removeMember(std::string_view name, std::uint64_t revision, WriteHandler handler) override;
+    void removeMember(std::string_view name, StoreRevision revision, WriteHandler handler) override;
 
 private:
     /** \returns what the store answers without serving the call, or Ok. */
--- a/src/simulation/StoreModel.cpp
+++ b/src/simulation/StoreModel.cpp
@@ -32,7 +32,7 @@
 
 ViewList StoreModel::list(ViewKind kind) const
 {
-    ViewList list{PlatformResult::Ok, this->current, {}};
+    ViewList list{PlatformResult::Ok, {this->currentEra, this->current}, {}};
     for (const auto &[name, item] : this->objects.at(static_cast<std::size_t>(kind)))
         list.objects.push_back(item);
     return list;
@@ -57,9 +57,9 @@
 
 ViewEvents StoreModel::changesSince(ViewKind kind, std::uint64_t since) const
 {
-    if (since < this->oldest)
+    if (since < this->oldest || since > this->current)
         return {PlatformResult::Gone, 0, {}};
-    ViewEvents events{PlatformResult::Ok, this->current, {}};
+    ViewEvents events{PlatformResult::Ok, {this->currentEra, this->current}, {}};
     for (const Change &change : this->changes) {
         if (change.kind == kind && change.event.version > since)
             events.events.push_back(change.event);
@@ -67,20 +67,21 @@
     return events;
 }
 
-void StoreModel::watch(ViewKind kind, std::uint64_t since, Duration wait, EventsHandler handler)
+void StoreModel::watch(ViewKind kind, StoreRevision since, Duration wait, EventsHandler handler)
 {
-    const ViewEvents now = this->changesSince(kind, since);
+    const ViewEvents now = this->changesSince(kind, since.number);
     if (now.result != PlatformResult::Ok || !now.events.empty()) {
         handler(now);
         return;
     }
-    const auto watch = std::make_shared<Waiting>(Waiting{kind, since, std::move(handler), {}});
+    const auto watch
+        = std::make_shared<Waiting>(Waiting{kind, since.number, std::move(handler), {}});
     watch->timer = this->scheduler.after(wait, [this, weak = std::weak_ptr(watch)] {
         const auto ended = weak.lock();
         if (!ended)
             return;
         this->waiting.remove(ended);
-        ended->handler({PlatformResult::Ok, this->current, {}});
+        ended->handler({PlatformResult::Ok, {this->currentEra, this->current}, {}});
     });
     this->waiting.push_back(watch);
 }
@@ -93,4 +94,14 @@
         watch->handler({PlatformResult::Gone, 0, {}});
 }
 
+void StoreModel::restore(Copy copy)
+{
+    ++this->currentEra;
+    this->current = copy.revision;
+    this->objects = std::move(copy.objects);
+    this->oldest = this->current;
+    this->changes.clear();
+    this->waiting.clear();
+}
+
 } // namespace bulrushgap::simulation
--- a/src/simulation/StoreModel.h
+++ b/src/simulation/StoreModel.h
@@ -23,7 +23,16 @@
 /** \brief The platform's store: versioned objects with watches and a bounded history. */
 class StoreModel
 {
+    using Objects = std::map<std::string, balance::ViewItem, std::less<>>;
+
 public:
+    /** \brief Objects and revision of one point in time. */
+    struct Copy
+    {
+        std::uint64_t revision = 0;
+        std::array<Objects, balance::viewKindCount> objects;
+    };
+
     using EventsHandler = std::function<void(const ViewEvents &events)>;
 
     /** \param history how long changes are kept. */
@@ -43,15 +52,21 @@
     [[nodiscard]] ViewList list(ViewKind kind) const;
 
     /** \brief Answers once there is a change after \a since, or after \a wait. */
-    void watch(ViewKind kind, std::uint64_t since, Duration wait, EventsHandler handler);
+    void watch(ViewKind kind, StoreRevision since, Duration wait, EventsHandler handler);
 
     /** \brief Drops the history: watches from before now are told so. */
     void forgetHistory();
 
+    [[nodiscard]] Copy copy() const { return {this->current, this->objects}; }
+
+    /** \brief Loses all changes since a copy was taken, and the history, and begins a new era. */
+    void restore(Copy copy);
+
     /** \brief Drops waiting watches; their handlers are not called. */
     void cutWatches() { this->waiting.clear(); }
 
     [[nodiscard]] std::uint64_t revision() const { return this->current; }
+    [[nodiscard]] std::uint64_t era() const { return this->currentEra; }
 
 private:
     struct Change
@@ -69,8 +84,6 @@
         Scheduler::Timer timer;
     };
 
-    using Objects = std::map<std::string, balance::ViewItem, std::less<>>;
-
     [[nodiscard]] Objects &objectsOf(ViewKind kind)
     {
         return this->objects.at(static_cast<std::size_t>(kind));
@@ -80,6 +93,7 @@
 
     const Scheduler &scheduler;
     Duration history;
+    std::uint64_t currentEra = 0;
     std::uint64_t current = 1;
     std::uint64_t oldest = 0; //!< Changes after this revision are known.
     std::array<Objects, balance::viewKindCount> objects;
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Time.h"
+#include "store/StoreRevision.h"
 
 #include <boost/json/value.hpp>
 
@@ -39,7 +40,7 @@
 struct BasicStoredObject
 {
     std::string key;
-    std::uint64_t version = 0;
+    std::uint64_t version = 0; //!< Of the era of its list.
     Value value{};
 };
 
@@ -47,7 +48,7 @@
 struct BasicListOutcome
 {
     PlatformResult result = PlatformResult::Unavailable;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::vector<BasicStoredObject<Value>> objects;
     ReplyFreshness freshness{};
 };
@@ -56,7 +57,7 @@
 struct BasicWatchEvent
 {
     std::string key;
-    std::uint64_t version = 0;
+    std::uint64_t version = 0;  //!< Of the era of its answer.
     std::optional<Value> value; //!< Empty if the object was deleted.
 };
 
@@ -64,7 +65,7 @@
 struct BasicWatchOutcome
 {
     PlatformResult result = PlatformResult::Unavailable;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::vector<BasicWatchEvent<Value>> events;
     ReplyFreshness freshness{};
 };
@@ -89,7 +90,7 @@
     virtual void list(Key key, ListHandler handler) = 0;
 
     /** \brief Issues one long poll for events after \a since. */
-    virtual void watch(Key key, std::uint64_t since, WatchHandler handler) = 0;
+    virtual void watch(Key key, StoreRevision since, WatchHandler handler) = 0;
 };
 
 using StoredObject = BasicStoredObject<boost::json::value>;
--- a/src/store/ObjectWatch.h
+++ b/src/store/ObjectWatch.h
@@ -18,8 +18,8 @@
 template <typename Value>
 struct BasicWatchUpdate
 {
-    bool complete = false;      //!< The events contain all existing objects.
-    std::uint64_t revision = 0; //!< Store revision up to which the events are known.
+    bool complete = false;  //!< The events contain all existing objects.
+    StoreRevision revision; //!< Up to which the events are known.
 
     /** Empty in an update that only confirms the revision. */
     std::vector<BasicWatchEvent<Value>> events;
@@ -69,7 +69,7 @@
     BasicObjectWatch &operator=(const BasicObjectWatch &) = delete;
 
     /** \brief Starts with a list, or with the events after \a since. */
-    void start(std::optional<std::uint64_t> since = std::nullopt)
+    void start(std::optional<StoreRevision> since = std::nullopt)
     {
         this->revision = since;
         this->poll();
@@ -94,8 +94,8 @@
     Scheduler::Timer timer;
     Backoff backoff;
     Duration batchDelay;
-    std::optional<std::uint64_t> revision;
-    std::uint64_t newestRevision = 0; //!< Highest revision seen; older lists are discarded.
+    std::optional<StoreRevision> revision;
+    StoreRevision newestRevision; //!< Highest revision seen; older lists are discarded.
     std::optional<bool> reachable;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true); //!< Checked by pending handlers.
 };
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -157,13 +157,13 @@
     this->write(std::move(call), std::move(handler));
 }
 
-void PlatformClient::watch(std::string_view prefix, std::uint64_t since, WatchHandler handler)
+void PlatformClient::watch(std::string_view prefix, StoreRevision since, WatchHandler handler)
 {
     constexpr std::chrono::milliseconds responseMargin{2'000};
     this->counters.add("platform_watch");
     HttpCall call;
     call.target = "/watch?prefix=" + internal::encodedKey(prefix)
-                  + "&since=" + std::to_string(since)
+                  + "&since=" + std::to_string(since.number)
                   + "&timeout=" + std::to_string(this->timeouts.watch.count());
     call.timeout = this->timeouts.watch + responseMargin;
     this->watches.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -39,7 +39,7 @@
     /** \brief Reads the list of live and leaving instances, which lags behind the objects. */
     void instances(ListHandler handler);
 
-    void watch(std::string_view prefix, std::uint64_t since, WatchHandler handler) override;
+    void watch(std::string_view prefix, StoreRevision since, WatchHandler handler) override;
 
 private:
     void read(std::string target, ListHandler handler);
--- a/src/view/MalformedObjects.cpp
+++ b/src/view/MalformedObjects.cpp
@@ -16,12 +16,13 @@
             revisions.erase(event.key);
             continue;
         }
+        const StoreRevision revision{update.revision.era, event.version};
         const auto earlier = before.find(event.key);
-        const bool known = (earlier != before.end() && earlier->second.contains(event.version))
-                           || revisions[event.key].contains(event.version);
+        const bool known = (earlier != before.end() && earlier->second.contains(revision))
+                           || revisions[event.key].contains(revision);
         if (!event.key.empty())
             revisions[event.key].clear();
-        revisions[event.key].insert(event.version);
+        revisions[event.key].insert(revision);
         if (!known)
             this->report(kind, event, *malformed);
     }
--- a/src/view/MalformedObjects.h
+++ b/src/view/MalformedObjects.h
@@ -5,7 +5,6 @@
 #include "view/ViewObject.h"
 
 #include <array>
-#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -26,7 +25,7 @@
 
 private:
     /** Reported revisions by the object's name; several only of objects without a readable name. */
-    using Revisions = std::map<std::string, std::set<std::uint64_t>>;
+    using Revisions = std::map<std::string, std::set<StoreRevision>>;
 
     void report(ViewKind kind, const ViewEvent &event, const MalformedObject &object);
 
--- a/src/view/MemberSweeper.cpp
+++ b/src/view/MemberSweeper.cpp
@@ -104,7 +104,7 @@
     this->log.warn("member_lost", {{"instance", entry.member.name},
                                    {"silent_s", seconds.count()},
                                    {"failures", failed.count},
-                                   {"revision", entry.revision}});
+                                   {"revision", entry.revision.number}});
     this->counters.add("member_lost");
     const std::string name = entry.member.name;
     this->failing.erase(name);
--- a/src/view/MemberSweeper.h
+++ b/src/view/MemberSweeper.h
@@ -6,7 +6,6 @@
 #include "view/Member.h"
 #include "view/ObjectSource.h"
 
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -17,7 +16,7 @@
 struct MemberEntry
 {
     Member member;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
 
     friend bool operator==(const MemberEntry &, const MemberEntry &) = default;
 };
--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -12,7 +12,7 @@
 
 constexpr Duration maxMirrorWait = std::chrono::seconds(30);
 
-ObjectMirror::EventsPtr emptyEvents(PlatformResult result, std::uint64_t revision = 0)
+ObjectMirror::EventsPtr emptyEvents(PlatformResult result, StoreRevision revision = {})
 {
     return std::make_shared<const ViewEvents>(ViewEvents{result, revision, {}, {}});
 }
@@ -72,7 +72,7 @@
 void ObjectMirror::watch(const ViewRequest &request, const EventsResponder &respond)
 {
     KindState &state = this->stateOf(request.kind);
-    const std::uint64_t since = request.since.value_or(0);
+    const StoreRevision since = request.since.value_or(StoreRevision{});
     if (!this->hooks.mayServe(request) || !state.loaded) {
         respond(internal::emptyEvents(PlatformResult::Busy));
         return;
@@ -101,11 +101,11 @@
 void ObjectMirror::onWaitExpired(KindState &state, const PendingWatchPtr &pending)
 {
     state.pending.remove(pending);
-    const std::uint64_t revision = std::max(state.revision, pending->since);
+    const StoreRevision revision = std::max(state.revision, pending->since);
     pending->respond(internal::emptyEvents(PlatformResult::Ok, revision));
 }
 
-ObjectMirror::EventsPtr ObjectMirror::changesSince(KindState &state, std::uint64_t since)
+ObjectMirror::EventsPtr ObjectMirror::changesSince(KindState &state, StoreRevision since)
 {
     if (state.cachedEvents && state.cachedSince == since)
         return state.cachedEvents;
@@ -138,7 +138,7 @@
     this->answerPendingWatches(state);
 }
 
-void ObjectMirror::appendChange(KindState &state, const ViewEvent &event, std::uint64_t revision)
+void ObjectMirror::appendChange(KindState &state, const ViewEvent &event, StoreRevision revision)
 {
     state.history.push_back({revision, event});
     while (state.history.size() > internal::maxMirrorHistory) {
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -72,13 +72,13 @@
 private:
     struct Change
     {
-        std::uint64_t revision = 0; //!< Store revision of the kind after the change.
+        StoreRevision revision; //!< Store revision of the kind after the change.
         ViewEvent event;
     };
 
     struct PendingWatch
     {
-        std::uint64_t since = 0;
+        StoreRevision since;
         bool direct = false;
         EventsResponder respond;
         Scheduler::Timer timer;
@@ -97,26 +97,26 @@
     struct KindState
     {
         bool loaded = false;
-        std::uint64_t revision = 0;
-        std::uint64_t historyStart = 0; //!< Changes after this revision are in the history.
+        StoreRevision revision;
+        StoreRevision historyStart; //!< Changes after this revision are in the history.
         std::deque<Change> history;
         std::list<PendingWatchPtr> pending;
         std::list<PendingListPtr> pendingLists;
         ListPtr cachedList;     //!< Reply for the current revision, or null.
         EventsPtr cachedEvents; //!< Reply for cachedSince and the current revision, or null.
-        std::uint64_t cachedSince = 0;
+        StoreRevision cachedSince;
     };
 
     [[nodiscard]] KindState &stateOf(ViewKind kind)
     {
         return this->states.at(static_cast<std::size_t>(kind));
     }
-    static void appendChange(KindState &state, const ViewEvent &event, std::uint64_t revision);
+    static void appendChange(KindState &state, const ViewEvent &event, StoreRevision revision);
     void addPendingList(KindState &state, const ViewRequest &request, const ListResponder &respond);
     void answerPendingLists(KindState &state);
     void answerPendingWatches(KindState &state);
     void onWaitExpired(KindState &state, const PendingWatchPtr &pending);
-    [[nodiscard]] static EventsPtr changesSince(KindState &state, std::uint64_t since);
+    [[nodiscard]] static EventsPtr changesSince(KindState &state, StoreRevision since);
 
     const Scheduler &scheduler;
     ObjectMirrorHooks hooks;
--- a/src/view/ObjectSource.h
+++ b/src/view/ObjectSource.h
@@ -24,7 +24,7 @@
     virtual void list(ViewKind kind, ListHandler handler) = 0;
 
     /** \brief Waits for events after \a since, for at most \a wait. */
-    virtual void watchFor(ViewKind kind, std::uint64_t since, std::chrono::milliseconds wait,
+    virtual void watchFor(ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                           WatchHandler handler)
         = 0;
 
@@ -50,7 +50,7 @@
     virtual void replaceMember(const Member &member, WriteHandler handler) = 0;
 
     /** \brief Removes an entry; Conflict if its revision is not \a revision. */
-    virtual void removeMember(std::string_view name, std::uint64_t revision, WriteHandler handler)
+    virtual void removeMember(std::string_view name, StoreRevision revision, WriteHandler handler)
         = 0;
 };
 
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -140,7 +140,7 @@
     this->lostAt = this->scheduler.now();
 }
 
-void SourcedStore::watch(ViewKind kind, std::uint64_t since, WatchHandler handler)
+void SourcedStore::watch(ViewKind kind, StoreRevision since, WatchHandler handler)
 {
     this->sources.retryPreferred(this->scheduler.now());
     const auto source = this->sources.current();
@@ -157,7 +157,7 @@
     this->send(watch, since, this->probePending);
 }
 
-void SourcedStore::send(const PendingWatchPtr &watch, std::uint64_t since, bool probe)
+void SourcedStore::send(const PendingWatchPtr &watch, StoreRevision since, bool probe)
 {
     const auto onAnswer = [this, watch, probe](ViewEvents outcome) {
         if (std::exchange(watch->done, true))
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -42,7 +42,7 @@
                  Counters &counters, Log &log, SourcedStoreHooks hooks);
 
     void list(ViewKind kind, ListHandler handler) override;
-    void watch(ViewKind kind, std::uint64_t since, WatchHandler handler) override;
+    void watch(ViewKind kind, StoreRevision since, WatchHandler handler) override;
 
     /** \returns whether the store is the source and responds, so others may read from this one. */
     [[nodiscard]] bool isDirect() const { return this->direct && this->sources.followsStore(); }
@@ -76,7 +76,7 @@
     struct DeferredWatch
     {
         PendingWatchPtr watch;
-        std::uint64_t since = 0;
+        StoreRevision since;
     };
 
     [[nodiscard]] ObjectSource &clientFor(const ViewSource &source);
@@ -91,7 +91,7 @@
     void onStartList(const ViewSource &source, ViewList outcome, const ListHandler &onList);
     void onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness);
     void noteFreshness(const ViewSource &source, const ReplyFreshness &freshness);
-    void send(const PendingWatchPtr &watch, std::uint64_t since, bool probe);
+    void send(const PendingWatchPtr &watch, StoreRevision since, bool probe);
     void endProbe(const ViewSource &source, bool answered);
     [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind, const ViewSource &source) const;
     void failPending(const ViewSource &source);
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -149,12 +149,12 @@
     return {begin, begin + builder.GetSize()};
 }
 
-Bytes finishReply(FlatBufferBuilder &builder, PlatformResult result, std::uint64_t revision,
+Bytes finishReply(FlatBufferBuilder &builder, PlatformResult result, StoreRevision revision,
                   ObjectsWriter &objects)
 {
     const auto written = objects.finish();
-    builder.Finish(
-        viewwire::CreateReply(builder, static_cast<std::uint8_t>(result), revision, written));
+    builder.Finish(viewwire::CreateReply(builder, static_cast<std::uint8_t>(result),
+                                         revision.number, written, 0, revision.era));
     return bytesOf(builder);
 }
 
@@ -358,7 +358,7 @@
 struct DecodedReply
 {
     PlatformResult result = PlatformResult::Unavailable;
-    std::uint64_t revision = 0;
+    StoreRevision revision;
     std::vector<ViewEvent> events;
 };
 
@@ -371,7 +371,8 @@
     if (reply->result() > static_cast<std::uint8_t>(PlatformResult::LostAnswer))
         return std::nullopt;
     ObjectsReader reader(kind, reply->objects());
-    DecodedReply decoded{static_cast<PlatformResult>(reply->result()), reply->revision(),
+    DecodedReply decoded{static_cast<PlatformResult>(reply->result()),
+                         {reply->era(), reply->revision()},
                          reader.read()};
     if (!reader.isValid())
         return std::nullopt;
@@ -383,9 +384,10 @@
 Bytes encodeRequest(const ViewRequest &request)
 {
     flatbuffers::FlatBufferBuilder builder(internal::initialBufferBytes);
+    const StoreRevision since = request.since.value_or(StoreRevision{});
     builder.Finish(viewwire::CreateRequest(
-        builder, static_cast<std::uint8_t>(request.kind), request.since.has_value(),
-        request.since.value_or(0), internal::toWireMilliseconds(request.wait), request.direct));
+        builder, static_cast<std::uint8_t>(request.kind), request.since.has_value(), since.number,
+        internal::toWireMilliseconds(request.wait), request.direct, 0, since.era));
     return internal::bytesOf(builder);
 }
 
@@ -398,7 +400,7 @@
     ViewRequest request;
     request.kind = static_cast<ViewKind>(wire->kind());
     if (wire->watch())
-        request.since = wire->since();
+        request.since = StoreRevision{wire->era(), wire->since()};
     request.wait = std::chrono::milliseconds(wire->waitMs());
     request.direct = wire->direct();
     return request;
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -20,28 +20,33 @@
     return event.value ? std::get_if<Value>(&*event.value) : nullptr;
 }
 
-RegistryChange changeOf(const ViewEvent &event)
+/** A view that the store has not confirmed for this long may be followed by a registry in which
+ * entries have lapsed. */
+constexpr Duration maxConfirmedAge = std::chrono::seconds(3);
+
+RegistryChange changeOf(const ViewEvent &event, std::uint64_t era)
 {
-    RegistryChange change{event.key, event.version, std::nullopt};
+    RegistryChange change{event.key, {era, event.version}, std::nullopt};
     if (const auto *entry = valueOf<UpstreamEntry>(event))
         change.entry = *entry;
     return change;
 }
 
 /** \returns the upstreams among the objects, without malformed ones. */
-std::vector<RegistryEntry> entriesOf(std::span<const ViewEvent> events)
+std::vector<RegistryEntry> entriesOf(std::span<const ViewEvent> events, std::uint64_t era)
 {
     std::vector<RegistryEntry> entries;
     for (const ViewEvent &event : events) {
         if (const auto *entry = valueOf<UpstreamEntry>(event))
-            entries.push_back({*entry, event.version});
+            entries.push_back({*entry, {era, event.version}});
     }
     return entries;
 }
 
 /** \returns the changes that lead from \a before to the objects of a complete update, so that
- * readers of this instance need not list all objects again. */
-ViewUpdate changesSince(std::span<const ViewItem> before, const ViewUpdate &complete)
+ * readers of this instance need not list all objects again.
+ * \param restored whether \a before is of an earlier era, so that equal revisions tell nothing */
+ViewUpdate changesSince(std::span<const ViewItem> before, const ViewUpdate &complete, bool restored)
 {
     ViewUpdate changes{false, complete.revision, {}};
     std::map<std::string_view, std::uint64_t> versions;
@@ -49,14 +54,14 @@
         versions.emplace(item.key, item.version);
     for (const ViewEvent &event : complete.events) {
         const auto known = versions.find(event.key);
-        const bool same = known != versions.end() && known->second == event.version;
+        const bool same = !restored && known != versions.end() && known->second == event.version;
         if (known != versions.end())
             versions.erase(known);
         if (!same)
             changes.events.push_back(event);
     }
     for (const auto &[key, version] : versions)
-        changes.events.push_back({std::string(key), complete.revision, std::nullopt});
+        changes.events.push_back({std::string(key), complete.revision.number, std::nullopt});
     return changes;
 }
 
@@ -109,19 +114,23 @@
     this->malformedObjects.report(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
+    const bool restored = this->isRestored(ViewKind::Upstreams, update);
+    const RegistryOrigin origin = restored ? RegistryOrigin::Copy : RegistryOrigin::Current;
+    const std::uint64_t updateEra = update.revision.era;
     if (update.complete) {
-        this->targets.directory.replaceAll(internal::entriesOf(update.events), now);
+        this->targets.directory.replaceAll(internal::entriesOf(update.events, updateEra), now,
+                                           origin);
     } else {
         std::vector<RegistryChange> changes;
         changes.reserve(update.events.size());
         for (const ViewEvent &event : update.events)
-            changes.push_back(internal::changeOf(event));
-        this->targets.directory.update(changes, now);
+            changes.push_back(internal::changeOf(event, updateEra));
+        this->targets.directory.update(changes, now, origin);
     }
     this->upstreamsKnown = true;
     this->upstreamsRevision = std::max(this->upstreamsRevision, update.revision);
     this->targets.steering.refreshColdBudgets();
-    this->publish(ViewKind::Upstreams, before, update);
+    this->publish(ViewKind::Upstreams, before, update, restored);
     this->onChange();
 }
 
@@ -129,6 +138,7 @@
 {
     this->malformedObjects.report(ViewKind::Configurations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Configurations);
+    const bool restored = this->isRestored(ViewKind::Configurations, update);
     for (const ViewEvent &event : update.events) {
         const auto *next = internal::valueOf<ConfigurationPtr>(event);
         if (next == nullptr)
@@ -143,7 +153,7 @@
                                                   {"revision", event.version},
                                                   {"routes", this->targets.routes.size()}});
     }
-    this->publish(ViewKind::Configurations, before, update);
+    this->publish(ViewKind::Configurations, before, update, restored);
     this->onChange();
 }
 
@@ -151,6 +161,7 @@
 {
     this->malformedObjects.report(ViewKind::Evacuations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
+    const bool restored = this->isRestored(ViewKind::Evacuations, update);
     std::map<std::string, std::uint64_t> next;
     if (!update.complete)
         next = this->evacuated;
@@ -166,15 +177,21 @@
     }
     const auto evacuatedBefore = std::exchange(this->evacuated, std::move(next));
     for (const auto &[domain, revision] : evacuatedBefore) {
-        if (!this->evacuated.contains(domain))
+        if (this->evacuated.contains(domain))
+            continue;
+        if (restored)
+            this->keepLostEvacuation(domain);
+        else
             this->applyEvacuation(domain, false);
     }
     for (const auto &[domain, revision] : this->evacuated) {
-        if (!evacuatedBefore.contains(domain))
+        const bool inForce
+            = evacuatedBefore.contains(domain) || this->lostEvacuations.erase(domain) > 0;
+        if (!inForce)
             this->applyEvacuation(domain, true);
     }
     this->evacuationsKnown = true;
-    this->publish(ViewKind::Evacuations, before, update);
+    this->publish(ViewKind::Evacuations, before, update, restored);
     this->onChange();
 }
 
@@ -182,12 +199,14 @@
 {
     this->malformedObjects.report(ViewKind::Members, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Members);
+    const bool restored = this->isRestored(ViewKind::Members, update);
     if (update.complete)
         this->members.clear();
     for (const ViewEvent &event : update.events) {
         this->members.erase(event.key);
         if (const auto *member = internal::valueOf<Member>(event))
-            this->members.emplace(event.key, MemberEntry{*member, event.version});
+            this->members.emplace(event.key,
+                                  MemberEntry{*member, {update.revision.era, event.version}});
     }
     std::vector<Member> all;
     for (const auto &[name, entry] : this->members)
@@ -201,7 +220,7 @@
         this->upstreamWatch.start();
         this->evacuationWatch.start();
     }
-    this->publish(ViewKind::Members, before, update);
+    this->publish(ViewKind::Members, before, update, restored);
     this->onChange();
 }
 
@@ -211,10 +230,10 @@
 }
 
 void ViewFollower::publish(ViewKind kind, std::span<const ViewItem> before,
-                           const ViewUpdate &update)
+                           const ViewUpdate &update, bool restored)
 {
     if (update.complete && this->targets.mirror.isLoaded(kind))
-        this->targets.mirror.apply(kind, internal::changesSince(before, update));
+        this->targets.mirror.apply(kind, internal::changesSince(before, update, restored));
     else
         this->targets.mirror.apply(kind, update);
 }
@@ -227,30 +246,45 @@
     this->lastVerificationAt = now;
     registry.list(ViewKind::Upstreams, [this, now](const ViewList &list) {
         this->log.info("registry_verified", {{"result", toString(list.result)},
-                                             {"revision", list.revision},
+                                             {"revision", list.revision.number},
                                              {"entries", list.objects.size()}});
-        // An older list says nothing about upstreams that have registered since.
-        if (list.result != PlatformResult::Ok || list.revision < this->upstreamsRevision)
-            return;
-        std::vector<RegistryChange> changes;
-        for (const ViewItem &item : list.objects) {
-            if (const auto *entry = std::get_if<UpstreamEntry>(&item.value))
-                changes.push_back({item.key, item.version, *entry});
-        }
-        this->targets.directory.update(changes, this->scheduler.now());
-        this->targets.steering.registryVerified(now);
+        if (list.result == PlatformResult::Ok)
+            this->applyVerification(list, now);
+        else
+            this->verificationFailed = true;
     });
 }
 
+void ViewFollower::applyVerification(const ViewList &list, TimePoint startedAt)
+{
+    this->noteEra(list.revision);
+    const bool wasAway = std::exchange(this->verificationFailed, false) || !this->upstreamsReachable
+                         || this->store.age() > internal::maxConfirmedAge;
+    if (wasAway)
+        this->targets.directory.registryRecovered(this->scheduler.now());
+    // An older list says nothing about upstreams that have registered since, and the first of a
+    // later era is taken from the watch.
+    if (list.revision < this->upstreamsRevision || list.revision.era != this->upstreamsRevision.era)
+        return;
+    std::vector<RegistryChange> changes;
+    for (const ViewItem &item : list.objects) {
+        if (const auto *entry = std::get_if<UpstreamEntry>(&item.value))
+            changes.push_back({item.key, {list.revision.era, item.version}, *entry});
+    }
+    const bool grace = this->scheduler.now() < this->targets.directory.graceEnd();
+    this->targets.directory.update(changes, this->scheduler.now(),
+                                   grace ? RegistryOrigin::Copy : RegistryOrigin::Current);
+    this->targets.steering.registryVerified(startedAt);
+}
+
 std::vector<ViewItem> ViewFollower::snapshot(ViewKind kind) const
 {
     std::vector<ViewItem> items;
     switch (kind) {
     case ViewKind::Upstreams:
         for (UpstreamIndex index = 0; index < this->targets.directory.size(); ++index) {
-            const Upstream &upstream = this->targets.directory.at(index);
-            if (upstream.registered)
-                items.push_back({upstream.entry.name, upstream.revision, upstream.entry});
+            if (const auto listed = this->targets.directory.listedEntry(index))
+                items.push_back({listed->entry.name, listed->revision.number, listed->entry});
         }
         break;
     case ViewKind::Configurations:
@@ -263,7 +297,7 @@
         break;
     case ViewKind::Members:
         for (const auto &[name, entry] : this->members)
-            items.push_back({name, entry.revision, entry.member});
+            items.push_back({name, entry.revision.number, entry.member});
         break;
     }
     return items;
@@ -283,6 +317,43 @@
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
+bool ViewFollower::isRestored(ViewKind kind, const ViewUpdate &update)
+{
+    auto &known = this->kindEras.at(static_cast<std::size_t>(kind));
+    const bool restored = known && *known < update.revision.era;
+    known = update.revision.era;
+    this->noteEra(update.revision);
+    return restored;
+}
+
+void ViewFollower::noteEra(StoreRevision revision)
+{
+    if (!this->era)
+        this->era = revision.era;
+    if (revision.era <= *this->era)
+        return;
+    const std::uint64_t before = std::exchange(*this->era, revision.era);
+    this->counters.add("store_restored");
+    this->log.warn("store_restored",
+                   {{"before", before}, {"after", revision.era}, {"revision", revision.number}});
+    this->targets.directory.registryRecovered(this->scheduler.now());
+}
+
+void ViewFollower::keepLostEvacuation(const std::string &domain)
+{
+    this->lostEvacuations.insert(domain);
+    const Duration grace = this->targets.directory.graceEnd() - this->scheduler.now();
+    this->lostEvacuationsTimer = this->scheduler.after(std::max(grace, Duration::zero()),
+                                                       [this] { this->endLostEvacuations(); });
+}
+
+void ViewFollower::endLostEvacuations()
+{
+    for (const std::string &domain : std::exchange(this->lostEvacuations, {}))
+        this->applyEvacuation(domain, false);
+    this->onChange();
+}
+
 std::optional<TimePoint> ViewFollower::registryConfirmedAt() const
 {
     // The watch of another kind may reach a store that returns first.
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -9,9 +9,11 @@
 #include "view/ObjectMirror.h"
 #include "view/SourcedStore.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -54,6 +56,9 @@
     /** \returns whether the view has an entry equal to \a member. */
     [[nodiscard]] bool hasMember(const Member &member) const;
 
+    /** \returns the latest era of the store that this instance knows; 0 if none. */
+    [[nodiscard]] std::uint64_t storeEra() const { return this->era.value_or(0); }
+
     /** \returns whether registry, configuration and evacuations have been read. */
     [[nodiscard]] bool isComplete() const;
 
@@ -66,8 +71,17 @@
     [[nodiscard]] std::vector<ViewItem> itemsBefore(const ViewUpdate &update, ViewKind kind) const;
 
     /** \brief Passes an update on to the instances that read from this one. */
-    void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update);
+    void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update,
+                 bool restored);
     void onReachable(ViewKind kind, bool reachable);
+
+    /** \returns whether the update is the first of its kind since the store returned from a copy.
+     */
+    [[nodiscard]] bool isRestored(ViewKind kind, const ViewUpdate &update);
+    void noteEra(StoreRevision revision);
+    void applyVerification(const ViewList &list, TimePoint startedAt);
+    void keepLostEvacuation(const std::string &domain);
+    void endLostEvacuations();
     void applyEvacuation(const std::string &domain, bool isEvacuated);
 
     const Scheduler &scheduler;
@@ -84,8 +98,13 @@
     MemberEntries members;
     std::optional<ViewItem> configuration;          //!< Configuration in force.
     std::map<std::string, std::uint64_t> evacuated; //!< Store revisions of evacuated domains.
+    std::set<std::string> lostEvacuations; //!< Missing from a copy; in force for the grace period.
+    Scheduler::Timer lostEvacuationsTimer;
+    std::optional<std::uint64_t> era;                                 //!< Latest known.
+    std::array<std::optional<std::uint64_t>, viewKindCount> kindEras; //!< Of the last updates.
     TimePoint lastVerificationAt{};
-    std::uint64_t upstreamsRevision = 0; //!< Store revision up to which upstreams are known.
+    bool verificationFailed = false;
+    StoreRevision upstreamsRevision; //!< Store revision up to which upstreams are known.
     bool membersKnown = false;
     bool upstreamsKnown = false;
     bool upstreamsReachable = false;
--- a/src/view/ViewRequest.h
+++ b/src/view/ViewRequest.h
@@ -12,7 +12,7 @@
 struct ViewRequest
 {
     ViewKind kind = ViewKind::Upstreams;
-    std::optional<std::uint64_t> since; //!< For a watch: waits for changes after this revision.
+    std::optional<StoreRevision> since; //!< For a watch: waits for changes after this revision.
 
     /** Longest wait for a change, or for a list until the other instance has read its view. */
     std::chrono::milliseconds wait{0};
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -692,7 +692,8 @@
     VT_SINCE = 8,
     VT_WAITMS = 10,
     VT_DIRECT = 12,
-    VT_OUTCOMES = 14
+    VT_OUTCOMES = 14,
+    VT_ERA = 16
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -712,6 +713,9 @@
   const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *outcomes() const {
     return GetPointer<const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *>(VT_OUTCOMES);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -721,6 +725,7 @@
            VerifyField<uint8_t>(verifier, VT_DIRECT, 1) &&
            VerifyOffset(verifier, VT_OUTCOMES) &&
            verifier.VerifyVector(outcomes()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -747,6 +752,9 @@
   void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes) {
     fbb_.AddOffset(Request::VT_OUTCOMES, outcomes);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Request::VT_ERA, era, 0);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -765,8 +773,10 @@
     uint64_t since = 0,
     uint32_t waitMs = 0,
     bool direct = false,
-    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0,
+    uint64_t era = 0) {
   RequestBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_since(since);
   builder_.add_outcomes(outcomes);
   builder_.add_waitMs(waitMs);
@@ -783,7 +793,8 @@
     uint64_t since = 0,
     uint32_t waitMs = 0,
     bool direct = false,
-    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr) {
+    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr,
+    uint64_t era = 0) {
   auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::OutcomeReport>(*outcomes) : 0;
   return bulrushgap::viewwire::CreateRequest(
       _fbb,
@@ -792,7 +803,8 @@
       since,
       waitMs,
       direct,
-      outcomes__);
+      outcomes__,
+      era);
 }
 
 struct Reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -801,7 +813,8 @@
     VT_RESULT = 4,
     VT_REVISION = 6,
     VT_OBJECTS = 8,
-    VT_OUTCOMES = 10
+    VT_OUTCOMES = 10,
+    VT_ERA = 12
   };
   uint8_t result() const {
     return GetField<uint8_t>(VT_RESULT, 0);
@@ -815,6 +828,9 @@
   const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *outcomes() const {
     return GetPointer<const flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *> *>(VT_OUTCOMES);
   }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_RESULT, 1) &&
@@ -823,6 +839,7 @@
            verifier.VerifyTable(objects()) &&
            VerifyOffset(verifier, VT_OUTCOMES) &&
            verifier.VerifyVector(outcomes()) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            verifier.EndTable();
   }
 };
@@ -843,6 +860,9 @@
   void add_outcomes(flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes) {
     fbb_.AddOffset(Reply::VT_OUTCOMES, outcomes);
   }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(Reply::VT_ERA, era, 0);
+  }
   explicit ReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -859,8 +879,10 @@
     uint8_t result = 0,
     uint64_t revision = 0,
     flatbuffers::Offset<bulrushgap::viewwire::Objects> objects = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0,
+    uint64_t era = 0) {
   ReplyBuilder builder_(_fbb);
+  builder_.add_era(era);
   builder_.add_revision(revision);
   builder_.add_outcomes(outcomes);
   builder_.add_objects(objects);
@@ -873,14 +895,16 @@
     uint8_t result = 0,
     uint64_t revision = 0,
     flatbuffers::Offset<bulrushgap::viewwire::Objects> objects = 0,
-    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr) {
+    const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr,
+    uint64_t era = 0) {
   auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::OutcomeReport>(*outcomes) : 0;
   return bulrushgap::viewwire::CreateReply(
       _fbb,
       result,
       revision,
       objects,
-      outcomes__);
+      outcomes__,
+      era);
 }
 
 }  // namespace viewwire
--- a/tests/EjectionWiring.cpp
+++ b/tests/EjectionWiring.cpp
@@ -51,7 +51,7 @@
             handler({PlatformResult::Ok, 1, this->objects[kind], {}});
         });
     }
-    void watchFor(ViewKind, std::uint64_t since, std::chrono::milliseconds wait,
+    void watchFor(ViewKind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override
     {
         this->later(wait, [since, handler] { handler({PlatformResult::Ok, since, {}, {}}); });
@@ -65,7 +65,7 @@
     {
         this->createMember(member, std::move(handler));
     }
-    void removeMember(std::string_view, std::uint64_t, WriteHandler handler) override
+    void removeMember(std::string_view, StoreRevision, WriteHandler handler) override
     {
         this->later(milliseconds(1), [handler] { handler(PlatformResult::Ok); });
     }
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -227,7 +227,7 @@
     {
         handler({PlatformResult::Ok, 5, {}, {}});
     }
-    void watch(std::string_view /*key*/, std::uint64_t since, WatchHandler handler) override
+    void watch(std::string_view /*key*/, StoreRevision since, WatchHandler handler) override
     {
         this->since = since;
         this->pending = std::move(handler);
@@ -238,7 +238,7 @@
             {PlatformResult::Ok, revision, {{"a", revision, boost::json::value(1)}}, {}});
     }
 
-    std::uint64_t since = 0;
+    StoreRevision since;
     WatchHandler pending;
 };
 
--- a/tests/SourceRound.cpp
+++ b/tests/SourceRound.cpp
@@ -23,7 +23,7 @@
     {}
 
     void list(ViewKind /*kind*/, ListHandler /*handler*/) override {}
-    void watchFor(ViewKind /*kind*/, std::uint64_t since, milliseconds /*wait*/,
+    void watchFor(ViewKind /*kind*/, StoreRevision since, milliseconds /*wait*/,
                   WatchHandler handler) override
     {
         const ViewEvents events{this->result, since, {}, {}};
--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -131,7 +131,7 @@
         : body(std::move(body))
     {
         this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &) {
-            return HttpReply{200, this->body, "application/json", {}};
+            return HttpReply{200, this->body, "application/json", {}, this->headers};
         });
     }
 
@@ -142,14 +142,15 @@
         });
     }
 
-    balance::ViewEvents watch(ViewKind kind)
+    balance::ViewEvents watch(ViewKind kind, StoreRevision since = 1)
     {
         return await<balance::ViewEvents>(this->context, [&](auto handler) {
-            this->client.watchFor(kind, 1, std::chrono::milliseconds(10), std::move(handler));
+            this->client.watchFor(kind, since, std::chrono::milliseconds(10), std::move(handler));
         });
     }
 
     std::string body;
+    std::vector<HttpHeader> headers;
     asio::io_context context;
     HttpServer server{context, Endpoint{0x7f000001, 0}};
     Endpoint endpoint{startServer(server)};
@@ -387,3 +388,56 @@
     CHECK(failed == (destroy ? 1 : 2));
     CHECK(change.before.held.size() == 2);
 }
+
+namespace {
+
+/** \brief Eras that the store has told and tells, and what comes of a watch from revision 5. */
+struct EraCase
+{
+    std::string first;
+    std::string next; //!< With revision 9.
+    PlatformResult list;
+    PlatformResult watch;
+};
+
+} // namespace
+
+// Guards against a revision of one era that is taken for that of another: changes would be missed,
+// or those of before the return of the store applied again.
+TEST_CASE("revisions of another era are not comparable", "[StoreClient]")
+{
+    const auto each = GENERATE(values<EraCase>({
+        {"", "", PlatformResult::Ok, PlatformResult::Ok},
+        {"1", "1", PlatformResult::Ok, PlatformResult::Ok},
+        {"", "1", PlatformResult::Ok, PlatformResult::Gone},
+        {"9", "10", PlatformResult::Ok, PlatformResult::Gone},
+        {"2", "1", PlatformResult::Unavailable, PlatformResult::Unavailable},
+        {"2", "", PlatformResult::Unavailable, PlatformResult::Unavailable},
+    }));
+    INFO(each.first << " then " << each.next);
+    ScriptedStore store(R"({"items":[],"has_more":false,"as_of":5})");
+    store.headers = {{"Store-Era", each.first}};
+    const ViewList first = store.list(ViewKind::Members);
+    REQUIRE(first.result == PlatformResult::Ok);
+    CHECK(first.revision.number == 5);
+    store.headers = {{"Store-Era", each.next}};
+    store.body = R"({"items":[],"events":[],"has_more":false,"as_of":9})";
+    CHECK(store.watch(ViewKind::Evacuations, first.revision).result == each.watch);
+    const ViewList second = store.list(ViewKind::Members);
+    CHECK(second.result == each.list);
+    if (each.list == PlatformResult::Ok)
+        CHECK(second.revision >= first.revision);
+}
+
+// Guards against the removal of an entry that was written after the store returned from a copy.
+TEST_CASE("an entry is not removed by its revision of an earlier era", "[StoreClient]")
+{
+    ScriptedStore store(R"({"items":[],"has_more":false,"as_of":5})");
+    store.headers = {{"Store-Era", "2"}};
+    REQUIRE(store.list(ViewKind::Members).result == PlatformResult::Ok);
+    const auto result = await<PlatformResult>(store.context, [&](auto handler) {
+        store.client.removeMember("a-1", {1, 4}, std::move(handler));
+    });
+    CHECK(result == PlatformResult::Conflict);
+    CHECK(store.counters.value("store_write") == 0);
+}
--- a/tests/UpstreamDirectory.cpp
+++ b/tests/UpstreamDirectory.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -166,3 +167,70 @@
     }
     CHECK(directory.size() == 1);
 }
+
+namespace {
+
+/** \brief What an instance knows of an upstream, and what a copy lists of it. */
+struct CopyCase
+{
+    UpstreamState known;
+    bool left; //!< Its entry was removed.
+    std::optional<RegistryEntry> copy;
+    bool eligible;      //!< Right after the copy was read.
+    bool eligibleLater; //!< After the grace period.
+};
+
+} // namespace
+
+// Guards against new flows to an upstream that drains or has left, since the store returned from a
+// copy of before; and against an upstream that is lost with the copy, or stays out for good.
+TEST_CASE("a copy of the registry revives no upstream at once", "[UpstreamDirectory]")
+{
+    constexpr auto ready = UpstreamState::Ready;
+    constexpr auto draining = UpstreamState::Draining;
+    const RegistryEntry copied = entry("a-1", 3);
+    const RegistryEntry restarted = entry("a-1", 3, ready, "10.0.0.1:80", 2);
+    const auto each = GENERATE_COPY(values<CopyCase>({
+        {ready, false, copied, true, true},
+        {ready, false, std::nullopt, true, false},
+        {draining, false, copied, false, true},
+        {draining, false, restarted, true, true},
+        {ready, true, copied, false, true},
+        {ready, true, restarted, true, true},
+        {draining, true, std::nullopt, false, false},
+    }));
+    UpstreamDirectory directory({});
+    put(directory, entry("a-1", 8, each.known), at(0));
+    if (each.left)
+        remove(directory, "a-1", 9, at(10));
+    directory.registryRecovered(at(100));
+    std::vector<RegistryEntry> entries;
+    if (each.copy)
+        entries.push_back({each.copy->entry, {1, 3}});
+    directory.replaceAll(entries, at(100), RegistryOrigin::Copy);
+    CHECK(candidateNames(directory).size() == (each.eligible ? 1 : 0));
+    const auto listed = directory.listedEntry(0);
+    REQUIRE(listed.has_value() == each.copy.has_value());
+    if (listed)
+        CHECK(listed->entry == each.copy->entry);
+    directory.expire(at(2'000));
+    CHECK(candidateNames(directory).size() == (each.eligible ? 1 : 0));
+    directory.expire(at(2'400));
+    CHECK(candidateNames(directory).size() == (each.eligibleLater ? 1 : 0));
+}
+
+// Guards against an upstream that is kept out although it has written its entry again.
+TEST_CASE("a change after the return from a copy counts at once", "[UpstreamDirectory]")
+{
+    const bool removed = GENERATE(false, true);
+    UpstreamDirectory directory({});
+    put(directory, entry("a-1", 8, UpstreamState::Draining), at(0));
+    directory.registryRecovered(at(100));
+    const RegistryEntry copied{entry("a-1", 3).entry, {1, 3}};
+    directory.replaceAll(std::vector{copied}, at(100), RegistryOrigin::Copy);
+    const std::optional<UpstreamEntry> next = removed ? std::nullopt : std::optional(copied.entry);
+    directory.update(std::vector<RegistryChange>{{"a-1", {1, 4}, next}}, at(200));
+    CHECK(candidateNames(directory).size() == (removed ? 0 : 1));
+    directory.expire(at(2'400));
+    CHECK(candidateNames(directory).size() == (removed ? 0 : 1));
+}
--- a/tests/ViewCodec.cpp
+++ b/tests/ViewCodec.cpp
@@ -85,18 +85,21 @@
 TEST_CASE("objects of each kind are equal after encoding and decoding", "[ViewCodec]")
 {
     const ViewKind kind = anyKind();
-    const ViewList list{PlatformResult::Ok, 77, {{"i-7f3a91c2aa", 70, sampleOf(kind)}}};
+    const StoreRevision revision{3, 77};
+    const ViewList list{PlatformResult::Ok, revision, {{"i-7f3a91c2aa", 70, sampleOf(kind)}}};
     const auto decodedList = decodeList(kind, encodeList(kind, list));
     REQUIRE(decodedList);
-    CHECK(decodedList->revision == 77);
+    CHECK(decodedList->revision == revision);
     REQUIRE(decodedList->objects.size() == 1);
     CHECK(decodedList->objects[0].version == 70);
     CHECK(same(decodedList->objects[0].value, list.objects[0].value));
 
-    const ViewEvents events{
-        PlatformResult::Ok, 80, {{"i-7f3a91c2aa", 78, sampleOf(kind)}, {"gone", 79, std::nullopt}}};
+    const ViewEvents events{PlatformResult::Ok,
+                            {3, 80},
+                            {{"i-7f3a91c2aa", 78, sampleOf(kind)}, {"gone", 79, std::nullopt}}};
     const auto decoded = decodeEvents(kind, encodeEvents(kind, events));
     REQUIRE(decoded);
+    CHECK(decoded->revision == events.revision);
     REQUIRE(decoded->events.size() == 2);
     CHECK(same(*decoded->events[0].value, *events.events[0].value));
     CHECK(decoded->events[1].key == "gone");
@@ -195,7 +198,7 @@
 TEST_CASE("a message decodes at any offset of its frame", "[ViewCodec]")
 {
     const auto offset = GENERATE(range(std::size_t{0}, std::size_t{8}));
-    const ViewRequest request{ViewKind::Upstreams, 7, milliseconds(400)};
+    const ViewRequest request{ViewKind::Upstreams, StoreRevision{3, 7}, milliseconds(400)};
     ViewList list{PlatformResult::Ok, 9, {}};
     list.objects.push_back({"i-1", 5, upstreamEntry()});
     const auto placed = [&](const Bytes &message) {
--- a/tests/ViewFollower.cpp
+++ b/tests/ViewFollower.cpp
@@ -58,7 +58,7 @@
         });
     }
 
-    void watchFor(ViewKind kind, std::uint64_t /*since*/, std::chrono::milliseconds /*wait*/,
+    void watchFor(ViewKind kind, StoreRevision /*since*/, std::chrono::milliseconds /*wait*/,
                   WatchHandler handler) override
     {
         this->waiting[kind] = std::move(handler);
@@ -68,13 +68,20 @@
     void dropWatches() override { this->waiting.clear(); }
     void createMember(const Member & /*member*/, WriteHandler /*handler*/) override {}
     void replaceMember(const Member & /*member*/, WriteHandler /*handler*/) override {}
-    void removeMember(std::string_view /*name*/, std::uint64_t /*revision*/,
+    void removeMember(std::string_view /*name*/, StoreRevision /*revision*/,
                       WriteHandler /*handler*/) override
     {}
 
-    void add(ViewKind kind, const ViewEvent &event)
+    void add(ViewKind kind, const ViewEvent &event, std::uint64_t era = 0)
     {
-        this->events[kind].push_back({PlatformResult::Ok, event.version, {event}, {}});
+        this->events[kind].push_back({PlatformResult::Ok, {era, event.version}, {event}, {}});
+        this->answer(kind);
+    }
+
+    /** \brief Answers the watch of a kind with a failure, or that its history is gone. */
+    void end(ViewKind kind, PlatformResult result)
+    {
+        this->events[kind].push_back({result, {}, {}, {}});
         this->answer(kind);
     }
 
@@ -126,6 +133,24 @@
         REQUIRE(runUntil(this->context, [&] { return this->changes > before; }));
     }
 
+    /** \brief Lets the store return from a copy that has \a objects at \a revision. */
+    void restore(ViewKind kind, StoreRevision revision, std::vector<ViewItem> objects)
+    {
+        const int before = this->changes;
+        this->source.lists[kind] = {PlatformResult::Ok, revision, std::move(objects), {}};
+        this->source.end(kind, PlatformResult::Gone);
+        REQUIRE(runUntil(this->context, [&] { return this->changes > before; }));
+    }
+
+    /** \returns what an instance reads that follows this one. */
+    [[nodiscard]] ViewEvents changesSince(ViewKind kind, StoreRevision since)
+    {
+        ViewEvents result;
+        this->mirror.watch({kind, since, std::chrono::milliseconds(0), false},
+                           [&](const ObjectMirror::EventsPtr &events) { result = *events; });
+        return result;
+    }
+
     [[nodiscard]] std::uint64_t malformedCount() const
     {
         return this->counters.value("object_malformed");
@@ -218,3 +243,93 @@
     view.apply(ViewKind::Upstreams, "i-7", 6, upstream("i-7"));
     CHECK(view.directory.candidates("s").size() == 1);
 }
+
+// Guards against an instance that takes the revisions of a store that returned from a copy for
+// older ones, or an equal one for no change: it would keep the lost state, and so would its
+// readers.
+TEST_CASE("the view follows a store that returns from a copy", "[ViewFollower]")
+{
+    const std::uint64_t revision = GENERATE(1, 4, 9);
+    ViewFixture view;
+    view.start();
+    // Revision 2 of the copy is another change than the one known.
+    view.restore(ViewKind::Upstreams, {1, revision}, {{"i-8", 2, upstream("i-8")}});
+    CHECK(view.counters.value("store_restored") == 1);
+    CHECK(view.follower.storeEra() == 1);
+    const ViewEvents changes = view.changesSince(ViewKind::Upstreams, 4);
+    CHECK(changes.revision == StoreRevision{1, revision});
+    REQUIRE(changes.events.size() == 2);
+    CHECK(changes.events[0].key == "i-8");
+    CHECK_FALSE(changes.events[1].value);
+    // The missing one has the grace period to register again.
+    CHECK(view.directory.candidates("s").size() == 2);
+    // An answer of the earlier era that arrives late changes nothing.
+    view.restore(ViewKind::Upstreams, {0, 99}, {});
+    CHECK(view.directory.registeredCount() == 1);
+    CHECK(view.counters.value("store_restored") == 1);
+}
+
+// Guards against an older configuration of the copy that takes over.
+TEST_CASE("the configuration of a copy does not replace a later one", "[ViewFollower]")
+{
+    ViewFixture view;
+    view.start();
+    view.apply(ViewKind::Configurations, "main", 5, configuration(8));
+    view.restore(ViewKind::Configurations, {1, 4}, {{"main", 1, configuration(7)}});
+    CHECK(view.routes.version() == 8);
+    const auto items = view.follower.snapshot(ViewKind::Configurations);
+    REQUIRE(items.size() == 1);
+    CHECK(std::get<ConfigurationPtr>(items[0].value)->version == 8);
+}
+
+// Guards against new flows in an evacuated domain while the operators write the evacuation again,
+// and against one that stays evacuated although they don't.
+TEST_CASE("an evacuation that a copy lacks stays in force for the grace period", "[ViewFollower]")
+{
+    const bool writtenAgain = GENERATE(false, true);
+    ViewFixture view;
+    view.source.lists[ViewKind::Evacuations].objects = {{"b", 4, Evacuation{}}};
+    view.start();
+    view.restore(ViewKind::Evacuations, {1, 3}, {});
+    CHECK(view.directory.isEvacuated("b"));
+    if (writtenAgain)
+        view.source.add(ViewKind::Evacuations, {"b", 5, Evacuation{}}, 1);
+    const auto graceEnd = view.directory.graceEnd() + std::chrono::milliseconds(50);
+    REQUIRE(runUntil(view.context, [&] { return view.scheduler.now() > graceEnd; }));
+    CHECK(view.directory.isEvacuated("b") == writtenAgain);
+}
+
+namespace {
+
+/** \brief What an instance meets when it reads the registry because of an unknown flow tag. */
+struct VerificationCase
+{
+    bool failedBefore; //!< The read before had no answer.
+    std::uint64_t era;
+    bool grace; //!< Whether the registry may lack upstreams that have to register again.
+};
+
+} // namespace
+
+// Guards against the reset of flows whose upstream is missing from a registry that has just come
+// back, if this instance notices that by the read itself.
+TEST_CASE("a read of a registry that has returned starts the grace period", "[ViewFollower]")
+{
+    const auto each = GENERATE(
+        values<VerificationCase>({{false, 0, false}, {true, 0, true}, {false, 1, true}}));
+    ViewFixture view;
+    view.start();
+    ViewList &list = view.source.lists[ViewKind::Upstreams];
+    list.revision = {each.era, 4};
+    const auto verify = [&](PlatformResult result) {
+        list.result = result;
+        view.follower.verifyUpstreams(view.source);
+        // The read takes place at most once a second.
+        const TimePoint next = view.scheduler.now() + std::chrono::milliseconds(1'050);
+        REQUIRE(runUntil(view.context, [&] { return view.scheduler.now() > next; }));
+    };
+    if (each.failedBefore)
+        verify(PlatformResult::Unavailable);
+    verify(PlatformResult::Ok);
+    CHECK((view.directory.graceEnd() > view.scheduler.now()) == each.grace);
+}
