Write the own entry again at once in a new era of the store

An instance waited up to 20 s for an entry that it had written to appear in its view; a store that returns from a copy may have lost it.

Test [MemberRegistration]: passed.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -382,7 +382,7 @@
     if (!std::exchange(this->ready, true))
         this->becomeReady();
     if (!this->stopping && !this->view.hasMember(this->options.self))
-        this->registration.ensure();
+        this->registration.ensure(this->view.storeEra());
     this->readiness.onChange();
 }
 
--- a/src/view/MemberRegistration.cpp
+++ b/src/view/MemberRegistration.cpp
@@ -23,13 +23,17 @@
     , backoff(internal::minRegistrationRetryDelay, internal::maxRegistrationRetryDelay, random)
 {}
 
-void MemberRegistration::ensure()
+void MemberRegistration::ensure(std::uint64_t era)
 {
     const TimePoint now = this->scheduler.now();
-    if (this->writtenAt && now - *this->writtenAt < internal::entryPropagationTime)
+    // A store that has begun another era may have lost the entry.
+    const bool sameEra = era <= this->writtenInEra;
+    if (sameEra && this->writtenAt && now - *this->writtenAt < internal::entryPropagationTime)
         return;
-    if (!std::exchange(this->writing, true))
-        this->create();
+    if (std::exchange(this->writing, true))
+        return;
+    this->writtenInEra = era;
+    this->create();
 }
 
 void MemberRegistration::create()
--- a/src/view/MemberRegistration.h
+++ b/src/view/MemberRegistration.h
@@ -7,6 +7,7 @@
 #include "view/Member.h"
 #include "view/ObjectSource.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace bulrushgap::balance {
@@ -18,8 +19,9 @@
     MemberRegistration(const Scheduler &scheduler, MemberStore &store, Random &random,
                        Member member, Log &log);
 
-    /** \brief Writes the entry unless a write is in progress or completed recently. */
-    void ensure();
+    /** \brief Writes the entry unless a write is in progress, or completed recently in the same
+     * era. \param era of the store, as far as known */
+    void ensure(std::uint64_t era = 0);
 
 private:
     void create();
@@ -34,6 +36,7 @@
     Backoff backoff;
     bool writing = false;
     std::optional<TimePoint> writtenAt;
+    std::uint64_t writtenInEra = 0; //!< Era known at the start of the last write.
 };
 
 } // namespace bulrushgap::balance
