Simulate a store that returns from a copy

Fault store-restored: the copy is taken when the fault begins, the store is away for the last quarter of the duration and returns in a new era. Operators write again after 1 s, upstreams with their next heartbeat, and entries that only the copy has expire. It is part of the random faults.

--- a/src/simulation/FaultInjector.cpp
+++ b/src/simulation/FaultInjector.cpp
@@ -10,7 +10,7 @@
         this->upstreams.apply(fault);
     else if (fault.kind <= FaultKind::Loss)
         this->links.apply(fault);
-    else if (fault.kind <= FaultKind::StoreForgets)
+    else if (fault.kind <= FaultKind::StoreRestored)
         this->store.apply(fault);
     else
         this->operators.apply(fault);
--- a/src/simulation/FaultSettings.cpp
+++ b/src/simulation/FaultSettings.cpp
@@ -35,6 +35,7 @@
         "store-slow",
         "store-loses-answers",
         "store-forgets",
+        "store-restored",
         "route-dropped",
         "route-moved",
         "configuration-storm",
--- a/src/simulation/FaultSettings.h
+++ b/src/simulation/FaultSettings.h
@@ -38,6 +38,7 @@
     StoreSlow,            //!< Answers of the store take fifty times as long.
     StoreLosesAnswers,    //!< Half of the writes are done and not answered.
     StoreForgets,         //!< The store drops its history.
+    StoreRestored,        //!< The store returns from a copy of the time when the fault began.
     RouteDropped,         //!< The last class's route is dropped for \c duration.
     RouteMoved,           //!< The last class's route leads to another service for \c duration.
     ConfigurationStorm,   //!< Configurations come in quick succession for \c duration.
--- a/src/simulation/Operators.cpp
+++ b/src/simulation/Operators.cpp
@@ -8,6 +8,8 @@
 
 namespace internal {
 
+/** Until operators have noticed that the store has lost what they wrote. */
+constexpr Duration writeAgainDelay = std::chrono::seconds(1);
 constexpr Duration operatorRetryInterval = std::chrono::milliseconds(200);
 
 } // namespace internal
@@ -42,15 +44,34 @@
 
 void Operators::evacuate(const std::string &domain, bool evacuated)
 {
+    this->evacuations[domain] = evacuated;
     this->whenServed([this, domain, evacuated] {
-        if (evacuated)
-            this->surroundings.store.put(ViewKind::Evacuations, domain, balance::Evacuation{});
-        else
-            this->surroundings.store.remove(ViewKind::Evacuations, domain);
+        this->writeEvacuation(domain, evacuated);
         this->checks.evacuated(domain, evacuated, this->surroundings.loop.now());
     });
 }
 
+void Operators::writeEvacuation(const std::string &domain, bool evacuated)
+{
+    if (evacuated)
+        this->surroundings.store.put(ViewKind::Evacuations, domain, balance::Evacuation{});
+    else
+        this->surroundings.store.remove(ViewKind::Evacuations, domain);
+}
+
+void Operators::writeAgain()
+{
+    const auto write = [this] {
+        this->surroundings.store.put(
+            ViewKind::Configurations, "routes",
+            std::make_shared<const balance::Configuration>(this->configuration()));
+        for (const auto &[domain, evacuated] : this->evacuations)
+            this->writeEvacuation(domain, evacuated);
+    };
+    this->writeAgainTimer = this->surroundings.scheduler.after(
+        internal::writeAgainDelay, [this, write] { this->whenServed(write); });
+}
+
 void Operators::whenServed(std::function<void()> write)
 {
     this->waiting.push_back(std::move(write));
--- a/src/simulation/Operators.h
+++ b/src/simulation/Operators.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -33,7 +34,11 @@
     /** \brief Orders an evacuation, or takes it back. */
     void evacuate(const std::string &domain, bool evacuated);
 
+    /** \brief Writes the latest configuration and all evacuations again, a moment from now. */
+    void writeAgain();
+
 private:
+    void writeEvacuation(const std::string &domain, bool evacuated);
     void whenServed(std::function<void()> write);
     void writeWaiting();
     [[nodiscard]] balance::Configuration configuration() const;
@@ -43,7 +48,9 @@
     const RunSettings &settings;
     PromiseChecks &checks;
     std::vector<std::function<void()>> waiting; //!< Writes that the store has not served, in order.
+    std::map<std::string, bool> evacuations;    //!< Whether each domain named so far is evacuated.
     Scheduler::Timer retryTimer;
+    Scheduler::Timer writeAgainTimer;
     std::uint64_t version = 0;
     bool lastRouteDropped = false;
     bool lastRouteMoved = false;
--- a/src/simulation/StoreOutages.cpp
+++ b/src/simulation/StoreOutages.cpp
@@ -1,11 +1,15 @@
 #include "simulation/StoreOutages.h"
 
+#include <memory>
+#include <utility>
+
 namespace bulrushgap::simulation {
 
 namespace internal {
 
 constexpr double slowStoreFactor = 50.0;
 constexpr double lostAnswerShare = 0.5;
+constexpr int restoreAwayPart = 4; //!< The store is away for this part of the time.
 
 } // namespace internal
 
@@ -15,16 +19,16 @@
     const TimePoint end = this->context.now() + fault.duration;
     switch (fault.kind) {
     case FaultKind::StoreSilent:
-        this->failStore(fault, StoreMode::Silent);
+        this->failStore(fault.duration, StoreMode::Silent);
         break;
     case FaultKind::StoreReset:
-        this->failStore(fault, StoreMode::Reset);
+        this->failStore(fault.duration, StoreMode::Reset);
         break;
     case FaultKind::StoreBusy:
-        this->failStore(fault, StoreMode::Busy);
+        this->failStore(fault.duration, StoreMode::Busy);
         break;
     case FaultKind::StoreLapse:
-        this->failStore(fault, StoreMode::Reset);
+        this->failStore(fault.duration, StoreMode::Reset);
         this->context.targets.fleet.setRegistryAway(true, true);
         break;
     case FaultKind::StoreRefuses:
@@ -44,19 +48,37 @@
         this->context.surroundings.store.forgetHistory();
         this->context.disturbances().store(this->context.now());
         break;
+    case FaultKind::StoreRestored:
+        this->restoreFromCopy(fault);
+        break;
     default:
         break;
     }
 }
 
-void StoreOutages::failStore(const PlannedFault &fault, StoreMode mode)
+void StoreOutages::restoreFromCopy(const PlannedFault &fault)
+{
+    const Duration away = fault.duration / internal::restoreAwayPart;
+    const auto copy = std::make_shared<StoreModel::Copy>(this->context.surroundings.store.copy());
+    this->context.undoAfter(fault.duration - away, [this, away, copy] {
+        this->failStore(away, StoreMode::Reset, [this, copy] {
+            this->context.surroundings.store.restore(std::move(*copy));
+            this->context.targets.fleet.onRegistryRestored();
+            this->context.targets.operators.writeAgain();
+        });
+    });
+}
+
+void StoreOutages::failStore(Duration duration, StoreMode mode, std::function<void()> onReturn)
 {
     StoreFaults &faults = this->context.surroundings.storeFaults;
     faults.mode = mode;
     this->context.surroundings.store.cutWatches();
     this->context.targets.fleet.setRegistryAway(true, false);
-    this->context.disturbances().store(this->context.now() + fault.duration);
-    this->context.undoAfter(fault.duration, [this, &faults] {
+    this->context.disturbances().store(this->context.now() + duration);
+    this->context.undoAfter(duration, [this, &faults, onReturn = std::move(onReturn)] {
+        if (onReturn)
+            onReturn();
         faults.mode = StoreMode::Serving;
         this->context.targets.fleet.setRegistryAway(false, false);
     });
--- a/src/simulation/StoreOutages.h
+++ b/src/simulation/StoreOutages.h
@@ -18,7 +18,9 @@
     void apply(const PlannedFault &fault);
 
 private:
-    void failStore(const PlannedFault &fault, StoreMode mode);
+    /** \param onReturn called just before the store serves again; may be empty */
+    void failStore(Duration duration, StoreMode mode, std::function<void()> onReturn = {});
+    void restoreFromCopy(const PlannedFault &fault);
     void turnInstancesAway(const PlannedFault &fault);
 
     FaultContext &context;
--- a/src/simulation/UpstreamFleet.cpp
+++ b/src/simulation/UpstreamFleet.cpp
@@ -158,6 +158,19 @@
     this->lapse = isAway && entriesLapse;
 }
 
+void UpstreamFleet::onRegistryRestored()
+{
+    const TimePoint now = this->surroundings.loop.now();
+    for (std::size_t number = 0; number < this->members.size(); ++number) {
+        FleetMember &member = this->members[number];
+        if (!this->surroundings.store.revisionOf(ViewKind::Upstreams, member.entry.name))
+            continue;
+        this->renewedAt[number] = now;
+        // The registry lists it again, so that instances may use it until it drains or expires.
+        member.leavingAckedAt.reset();
+    }
+}
+
 std::optional<std::size_t> UpstreamFleet::ownerOf(Endpoint address) const
 {
     const auto found = this->byAddress.find(address);
--- a/src/simulation/UpstreamFleet.h
+++ b/src/simulation/UpstreamFleet.h
@@ -58,6 +58,9 @@
     /** \brief The store is away: entries lapse, and come back after its return. */
     void setRegistryAway(bool away, bool entriesLapse);
 
+    /** \brief The registry has returned from a copy: who lives renews its entry, others expire. */
+    void onRegistryRestored();
+
     /** \returns the latest upstream at an address, alive or not. */
     [[nodiscard]] std::optional<std::size_t> ownerOf(Endpoint address) const;
 
--- a/tests/SimulatedFaults.cpp
+++ b/tests/SimulatedFaults.cpp
@@ -54,3 +54,18 @@
     const RequestCounts elsewhere = report.between(servedElsewhereFrom, cutEnd);
     CHECK(elsewhere.servedShare() >= minServedShareAfterFault);
 }
+
+// Guards against changes of operators and upstreams that are lost, or undone for good, when the
+// store returns from a copy while they take place.
+TEST_CASE("A store that returns from a copy keeps the promises during changes", "[SimulatedFaults]")
+{
+    const auto kind = GENERATE(FaultKind::InstanceStop, FaultKind::UpstreamReborn,
+                               FaultKind::Release, FaultKind::ScaleIn, FaultKind::ScaleOut,
+                               FaultKind::ConfigurationStorm, FaultKind::Evacuation);
+    const auto seed = GENERATE(range(1U, 3U));
+    const RunSettings settings = sampleRunSettings(24s);
+    const std::vector<PlannedFault> faults{{FaultKind::StoreRestored, 3s, 6s, 0.0},
+                                           {kind, 5s, 6s, 0.4}};
+    INFO("seed " << seed << '\n' << faultLines(faults));
+    checkReport(simulate(settings, faults, seed), settings);
+}
