Await a grace period after the first read before resetting unknown tags

An instance that starts while the store has just returned reads an incomplete registry and can't tell. It takes the registry for complete only a grace period after its first read; until then it drops packets with unknown tags.

--- a/src/directory/UpstreamDirectory.cpp
+++ b/src/directory/UpstreamDirectory.cpp
@@ -52,6 +52,8 @@
 void UpstreamDirectory::replaceAll(std::span<const RegistryEntry> entries, TimePoint now,
                                    RegistryOrigin origin)
 {
+    if (!this->firstGraceEndsAt)
+        this->firstGraceEndsAt = now + internal::reregistrationGrace;
     std::set<std::string_view> names;
     for (const RegistryEntry &entry : entries)
         names.insert(entry.entry.name);
--- a/src/directory/UpstreamDirectory.h
+++ b/src/directory/UpstreamDirectory.h
@@ -78,6 +78,14 @@
     /** \returns the end of the last grace period. */
     [[nodiscard]] TimePoint graceEnd() const { return this->graceEndsAt; }
 
+    /** \returns the time from which the registry lists all live upstreams: the end of the last
+     * grace period, or of one that starts with the first read, since an instance that starts does
+     * not know whether the registry has just returned. */
+    [[nodiscard]] TimePoint completeFrom() const
+    {
+        return std::max(this->graceEndsAt, this->firstGraceEndsAt.value_or(TimePoint{}));
+    }
+
     /** \brief Replaces all entries. */
     void replaceAll(std::span<const RegistryEntry> entries, TimePoint now,
                     RegistryOrigin origin = RegistryOrigin::Current);
@@ -161,6 +169,7 @@
     std::vector<UpstreamIndex> freeIndexes; //!< Indexes of discarded upstreams.
     std::set<UpstreamIndex> inGracePeriod;  //!< Deregistered after an outage, still usable.
     std::map<UpstreamIndex, RegistryEntry> outdated; //!< Of a copy; applied after the grace.
+    std::optional<TimePoint> firstGraceEndsAt;       //!< Set by the first read.
     TimePoint graceEndsAt{};
 };
 
--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -303,7 +303,7 @@
         return internal::drop(SteeringReason::StrayPacket);
     // The upstream is gone: a registry read after the first packet of the flow did not list it, and
     // live upstreams had registered again by then if the registry had lost entries.
-    const bool complete = this->registryReadSince >= this->directory.graceEnd();
+    const bool complete = this->registryReadSince >= this->directory.completeFrom();
     if (flow != nullptr && complete && flow->firstSeen < this->registryReadSince
         && flow->idempotent)
         return internal::reset(SteeringReason::UnknownUpstream);
--- a/tests/UpstreamDirectory.cpp
+++ b/tests/UpstreamDirectory.cpp
@@ -93,8 +93,11 @@
     const bool outage = GENERATE(true, false);
     UpstreamDirectory directory({});
     directory.replaceAll(std::vector{entry("a-1", 5), entry("a-2", 6)}, at(0));
+    // The registry may have returned just before it was first read.
+    CHECK(directory.completeFrom() == at(2'200));
     if (outage)
         directory.registryRecovered(at(5'000));
+    CHECK(directory.completeFrom() == (outage ? at(7'200) : at(2'200)));
     directory.replaceAll(std::vector{entry("a-2", 6)}, at(5'001));
     CHECK(candidateNames(directory) == (outage ? Names{"a-1", "a-2"} : Names{"a-2"}));
     directory.expire(at(7'000));
