--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -416,11 +416,11 @@
     }));
     INFO(each.first << " then " << each.next);
     ScriptedStore store(R"({"items":[],"has_more":false,"as_of":5})");
-    store.headers = {{"Store-Era", each.first}};
+    store.headers = {{platform::storeEraHeader, each.first}};
     const ViewList first = store.list(ViewKind::Members);
     REQUIRE(first.result == PlatformResult::Ok);
     CHECK(first.revision.number == 5);
-    store.headers = {{"Store-Era", each.next}};
+    store.headers = {{platform::storeEraHeader, each.next}};
     store.body = R"({"items":[],"events":[],"has_more":false,"as_of":9})";
     CHECK(store.watch(ViewKind::Evacuations, first.revision).result == each.watch);
     const ViewList second = store.list(ViewKind::Members);
@@ -433,7 +433,7 @@
 TEST_CASE("an entry is not removed by its revision of an earlier era", "[StoreClient]")
 {
     ScriptedStore store(R"({"items":[],"has_more":false,"as_of":5})");
-    store.headers = {{"Store-Era", "2"}};
+    store.headers = {{platform::storeEraHeader, "2"}};
     REQUIRE(store.list(ViewKind::Members).result == PlatformResult::Ok);
     const auto result = await<PlatformResult>(store.context, [&](auto handler) {
         store.client.removeMember("a-1", {1, 4}, std::move(handler));
