--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -428,7 +428,7 @@
     if (!std::exchange(this->ready, true))
         this->becomeReady();
     if (!this->stopping && !this->view.hasMember(this->options.self))
-        this->registration.ensure();
+        this->registration.ensure(this->view.storeEra());
     this->readiness.onChange();
 }
 
@@ -576,7 +576,7 @@
                                       {"service", entry.service},
                                       {"domain", entry.domain},
                                       {"address", entry.address.toString()},
-                                      {"revision", changed.revision},
+                                      {"revision", changed.revision.number},
                                       {"slow_start_ms", toMilliseconds(entry.slowStart)}});
 }
 
