--- /dev/null
+++ b/tests/OddEntries.cpp
@@ -0,0 +1,155 @@
+#include "platform/ObjectCodec.h"
+#include "store/TolerantParse.h"
+#include "view/ViewCodec.h"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace bulrushgap;
+using balance::ViewKind;
+
+namespace {
+
+using Members = std::map<std::string, std::string>; //!< JSON texts by the names of the members.
+
+/** \returns members that a spec of the kind must have. */
+Members goodSpec(ViewKind kind)
+{
+    switch (kind) {
+    case ViewKind::Upstreams:
+        return {{"service", R"("s1")"},
+                {"addr", R"("10.1.0.9:8080")"},
+                {"zone", R"("yala")"},
+                {"version", R"("v1")"},
+                {"slots", "2"},
+                {"state", R"("ready")"},
+                {"seq", "4"},
+                {"slow_start_ms", "1500"},
+                {"born", "1700000000123"}};
+    case ViewKind::Members:
+        return {{"domain", R"("yala")"}, {"peer", R"("10.0.0.1:7720")"}, {"capacity", "200"}};
+    case ViewKind::Configurations:
+        return {{"version", "7"}, {"routes", "[]"}, {"services", "[]"}};
+    case ViewKind::Evacuations:
+        break;
+    }
+    return {{"by", R"("operator")"}};
+}
+
+std::string objectText(const Members &members)
+{
+    std::string text;
+    for (const auto &[name, value] : members)
+        text += (text.empty() ? "{\"" : ",\"") + name + "\":" + value;
+    return text + "}";
+}
+
+std::string storedObject(const std::string &name, const std::string &revision,
+                         const std::string &spec)
+{
+    return R"({"meta":{"name":)" + name + R"(,"revision":)" + revision + R"(},"spec":)" + spec
+           + "}";
+}
+
+/** \returns an object whose spec is usable but for \a member. */
+std::string withSpec(ViewKind kind, const std::string &member, const std::string &value)
+{
+    Members spec = goodSpec(kind);
+    spec[member] = value;
+    return storedObject(R"("i-b")", "5", objectText(spec));
+}
+
+/** \returns the objects of a list and the events of a watch with \a odd between two good ones. */
+struct Answers
+{
+    explicit Answers(ViewKind kind, const std::string &odd)
+    {
+        const std::string good = objectText(goodSpec(kind));
+        const std::string before = storedObject(R"("i-a")", "4", good);
+        const std::string after = storedObject(R"("i-c")", "6", good);
+        const auto page = parseTolerantly(R"({"items":[)" + before + "," + odd + "," + after
+                                          + R"(],"has_more":false,"as_of":9})");
+        REQUIRE(page);
+        this->list.result = PlatformResult::Ok;
+        CHECK_FALSE(platform::decodeListPage(kind, *page, this->list));
+        const std::string event = R"({"removed":false,"object":)";
+        const auto body = parseTolerantly(R"({"events":[)" + event + before + "}," + event + odd
+                                          + "}," + event + after + R"(}],"as_of":9})");
+        REQUIRE(body);
+        this->events = platform::decodeEvents(kind, *body, 1);
+    }
+
+    balance::ViewList list;
+    balance::ViewEvents events;
+};
+
+bool isMalformed(const std::optional<balance::ViewObject> &object)
+{
+    return object && std::holds_alternative<balance::MalformedObject>(*object);
+}
+
+/** \brief Checks that only the second of three objects is malformed, and only if \a odd. */
+template <typename Objects>
+void checkObjects(const Objects &objects, bool odd)
+{
+    REQUIRE(objects.size() == 3);
+    CHECK_FALSE(isMalformed(objects[0].value));
+    CHECK(isMalformed(objects[1].value) == odd);
+    CHECK_FALSE(isMalformed(objects[2].value));
+    CHECK(objects[0].key == "i-a");
+    CHECK(objects[2].key == "i-c");
+}
+
+void checkAnswers(ViewKind kind, const std::string &object, bool odd)
+{
+    CAPTURE(balance::toString(kind), object.substr(0, 300));
+    const Answers answers(kind, object);
+    CHECK(answers.list.result == PlatformResult::Ok);
+    CHECK(answers.list.revision == 9);
+    checkObjects(answers.list.objects, odd);
+    CHECK(answers.events.result == PlatformResult::Ok);
+    CHECK(answers.events.revision == 9);
+    checkObjects(answers.events.events, odd);
+    const auto passedOn = balance::decodeList(kind, balance::encodeList(kind, answers.list));
+    REQUIRE(passedOn);
+    const bool isPassedOn
+        = !odd || (kind == ViewKind::Evacuations && !answers.list.objects[1].key.empty());
+    CHECK(passedOn->objects.size() == (isPassedOn ? 3 : 2));
+}
+
+/** \brief Values of a member and whether an entry with them may be used. */
+struct Values
+{
+    ViewKind kind;
+    std::string member;
+    bool usable;
+    std::vector<std::string> values;
+};
+
+void checkValues(const Values &each)
+{
+    for (const std::string &value : each.values)
+        checkAnswers(each.kind, withSpec(each.kind, each.member, value), !each.usable);
+}
+
+} // namespace
+
+// Guards against flows, probes and connections to an address that is not that of a host.
+TEST_CASE("an address that names no host costs only its entry", "[OddEntries]")
+{
+    const std::vector<std::string> odd{R"("10.1.0.9:0")",         R"("10.1.0.9:65536")",
+                                       R"("10.1.0.9:70000")",     R"("10.1.0.9:-1")",
+                                       R"("10.1.0.9:8080x")",     R"("10.1.0.9:")",
+                                       R"("10.1.0.9: 80")",       R"(" 10.1.0.9:80")",
+                                       R"("999.1.1.1:80")",       R"("::1")",
+                                       R"("[::1]:80")",           R"("host.example:80")",
+                                       R"("0.0.0.0:80")",         R"("224.0.0.1:80")",
+                                       R"("255.255.255.255:80")", R"("10.1.0.9:99999999999")"};
+    checkValues({ViewKind::Upstreams, "addr", false, odd});
+    checkValues({ViewKind::Members, "peer", false, odd});
+    checkValues({ViewKind::Upstreams, "addr", true, {R"("127.0.0.1:1")", R"("223.1.1.1:65535")"}});
+}
