Refuse entries with numbers that no host writes

A fraction was cut to a whole number (slots, born, capacity, the version of a configuration), 0 slots passed, and up to slots were used for placement: the load per slot of such an entry is near 0, so it would draw nearly all flows of its service. The frames between instances carry at most 65535, so instances also differed in what they used. Slots are now whole numbers from 1 to 4096; the other members must be whole. A duration may still be a fraction, and is bounded as before.

--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -153,3 +153,36 @@
     checkValues({ViewKind::Members, "peer", false, odd});
     checkValues({ViewKind::Upstreams, "addr", true, {R"("127.0.0.1:1")", R"("223.1.1.1:65535")"}});
 }
+
+// Guards against numbers that are out of range or cut to whole ones, of which a large number of
+// slots would draw all flows to one upstream.
+TEST_CASE("a number that its member can't have costs only its entry", "[OddEntries]")
+{
+    const std::vector<std::string> never{"-1",
+                                         "1e400",
+                                         "-1e400",
+                                         "1e19",
+                                         "9223372036854775808",
+                                         "18446744073709551616",
+                                         "NaN",
+                                         "null",
+                                         "true",
+                                         "-Infinity",
+                                         R"("2")",
+                                         "[2]",
+                                         "{}",
+                                         std::string(4'000, '9')};
+    std::vector<std::string> notWhole = never;
+    notWhole.emplace_back("1.5");
+    std::vector<std::string> noSlots = notWhole;
+    noSlots.insert(noSlots.end(), {"0", "4097", "65536", "4294967295", "1e15"});
+    std::vector<std::string> noCapacity = notWhole;
+    noCapacity.insert(noCapacity.end(), {"4294967296", "1e15"});
+    checkValues({ViewKind::Upstreams, "slots", false, noSlots});
+    checkValues({ViewKind::Upstreams, "slots", true, {"1", "2.0", "4096"}});
+    checkValues({ViewKind::Upstreams, "born", false, notWhole});
+    checkValues({ViewKind::Upstreams, "slow_start_ms", false, never});
+    checkValues({ViewKind::Upstreams, "slow_start_ms", true, {"0", "1.5", "1e15"}});
+    checkValues({ViewKind::Members, "capacity", false, noCapacity});
+    checkValues({ViewKind::Members, "capacity", true, {"0", "4294967295"}});
+}
