Check the type of all members that hosts write

The members version and seq of an upstream's entry were not looked at, so an entry of another writer that has them with another type passed for that of a host.

--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -186,3 +186,16 @@
     checkValues({ViewKind::Members, "capacity", false, noCapacity});
     checkValues({ViewKind::Members, "capacity", true, {"0", "4294967295"}});
 }
+
+// Guards against entries of other writers that pass for those of hosts.
+TEST_CASE("a member of another type costs only its entry", "[OddEntries]")
+{
+    const std::vector<std::string> noText{"7", "null", "[]", R"("")", "\"\xff\"", R"("\udcff")"};
+    for (const std::string member : {"service", "zone", "version", "state", "addr"})
+        checkValues({ViewKind::Upstreams, member, false, noText});
+    checkValues({ViewKind::Members, "domain", false, noText});
+    checkValues({ViewKind::Upstreams, "state", false, {R"("asleep")", R"("Ready")", "true"}});
+    checkValues({ViewKind::Upstreams, "seq", false, {R"("4")", "null", "-1", "1.5", "1e400"}});
+    // An unknown service has no routes, so that no flows are placed.
+    checkValues({ViewKind::Upstreams, "service", true, {R"("unknown")"}});
+}
