--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -199,3 +199,20 @@
     // An unknown service has no routes, so that no flows are placed.
     checkValues({ViewKind::Upstreams, "service", true, {R"("unknown")"}});
 }
+
+// Guards against names that identify no host, or that other systems can't carry.
+TEST_CASE("a name that can't be used costs only its entry", "[OddEntries]")
+{
+    const std::string good = objectText(goodSpec(ViewKind::Upstreams));
+    for (const std::string name :
+         {R"("i-")", R"("i-xyz")", R"("i-0")", R"("")", R"("i-11223344556677889")", R"("i-7f ")",
+          R"("i-7f\u0000")", "\"i-\xff\"", R"("i-\udcff7f")", "7", "null", "[]"})
+        checkAnswers(ViewKind::Upstreams, storedObject(name, "5", good), true);
+    for (const ViewKind kind : {ViewKind::Upstreams, ViewKind::Members, ViewKind::Evacuations})
+        checkAnswers(kind,
+                     storedObject('"' + std::string(100'000, 'x') + R"(-7f")", "5",
+                                  objectText(goodSpec(kind))),
+                     true);
+    checkAnswers(ViewKind::Evacuations, storedObject(R"("a zone\n/?\u0000\"")", "5", "{}"), false);
+    checkAnswers(ViewKind::Evacuations, storedObject(R"("yala")", "5", R"("no object")"), false);
+}
