--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -387,3 +387,72 @@
     CHECK(failed == (destroy ? 1 : 2));
     CHECK(change.before.held.size() == 2);
 }
+
+namespace {
+
+/** \brief A store that lists one object a page, and expects the decoded name of the last one. */
+struct PagedStore
+{
+    explicit PagedStore(std::vector<std::string> objects)
+        : objects(std::move(objects))
+    {
+        this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &request) {
+            this->after.push_back(request.parameter("after"));
+            const std::size_t page = this->after.size() - 1;
+            const bool hasMore = page + 1 < this->objects.size();
+            return HttpReply{200,
+                             R"({"items":[)" + this->objects.at(page) + R"(],"has_more":)"
+                                 + (hasMore ? "true" : "false") + R"(,"as_of":9})",
+                             "application/json",
+                             {}};
+        });
+    }
+
+    std::vector<std::string> objects;
+    std::vector<std::optional<std::string>> after;
+    asio::io_context context;
+    HttpServer server{context, Endpoint{0x7f000001, 0}};
+    Endpoint endpoint{startServer(server)};
+    Counters counters;
+    platform::StoreClient client{context, endpoint, counters};
+};
+
+} // namespace
+
+// Guards against a name that garbles the request for the next page, so that the list never ends.
+TEST_CASE("a list continues after any name", "[StoreClient]")
+{
+    const auto name = GENERATE(as<std::string>(), "a b", "a&after=z", "a#?%41", "a\\r\\nX: 1",
+                               "a\\u0000", "\xc3\xa4", "../config");
+    const std::string odd = R"({"meta":{"name":")" + name + R"(","revision":4},"spec":7})";
+    const std::string good = R"({"meta":{"name":"i-1","revision":5},"spec":)" + goodUpstream + "}";
+    CAPTURE(odd);
+    PagedStore store({odd, good});
+    const ViewList list = await<ViewList>(store.context, [&](auto handler) {
+        store.client.list(ViewKind::Upstreams, std::move(handler));
+    });
+    CHECK(list.result == PlatformResult::Ok);
+    REQUIRE(list.objects.size() == 2);
+    CHECK(std::holds_alternative<balance::UpstreamEntry>(list.objects[1].value));
+    REQUIRE(store.after.size() == 2);
+    CHECK(store.after[1] == list.objects[0].key);
+}
+
+// Guards against a name that makes the removal of a lost instance that of another object.
+TEST_CASE("a member's name stays one part of the path", "[StoreClient]")
+{
+    asio::io_context context;
+    HttpServer server(context, Endpoint{0x7f000001, 0});
+    std::vector<std::string> targets;
+    server.route("DELETE", "/-/objects/*", [&](const HttpRequestView &request) {
+        targets.push_back(request.path);
+        return HttpReply{200, "{}", "application/json", {}};
+    });
+    Counters counters;
+    platform::StoreClient client(context, startServer(server), counters);
+    const auto name = GENERATE(as<std::string>(), "../config/main", "a?revision=1", "a b");
+    const auto result = await<PlatformResult>(
+        context, [&](auto handler) { client.removeMember(name, 5, std::move(handler)); });
+    CHECK(result == PlatformResult::Ok);
+    CHECK(targets == std::vector<std::string>{"/-/objects/instances/" + name});
+}
