--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -216,3 +216,15 @@
     checkAnswers(ViewKind::Evacuations, storedObject(R"("a zone\n/?\u0000\"")", "5", "{}"), false);
     checkAnswers(ViewKind::Evacuations, storedObject(R"("yala")", "5", R"("no object")"), false);
 }
+
+// Guards against an entry whose later changes are discarded as older ones.
+TEST_CASE("the revision of an entry is at most that of the answer", "[OddEntries]")
+{
+    const std::string good = objectText(goodSpec(ViewKind::Upstreams));
+    const Answers answers(ViewKind::Upstreams,
+                          storedObject(R"("i-b")", "9223372036854775807", good));
+    CHECK(answers.list.revision == 9);
+    CHECK(answers.list.objects.at(1).version == 9);
+    CHECK(answers.events.revision == 9);
+    CHECK(answers.events.events.at(1).version == 9);
+}
