--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -228,3 +228,12 @@
     CHECK(answers.events.revision == 9);
     CHECK(answers.events.events.at(1).version == 9);
 }
+
+// Guards against an entry that replaces newer ones, as it has no place in their order.
+TEST_CASE("an entry without a revision costs only that entry", "[OddEntries]")
+{
+    const std::string good = objectText(goodSpec(ViewKind::Upstreams));
+    for (const std::string revision :
+         {"0", "-1", "1.5", "1e400", "9223372036854775808", R"("5")", "null", "[]", "{}", "NaN"})
+        checkAnswers(ViewKind::Upstreams, storedObject(R"("i-b")", revision, good), true);
+}
