Refuse an upstream's entry that lacks a documented member

PROTOCOL.md: an entry with fields missing names no host to use. An entry without slots, slow_start_ms, seq or version was used with a default (1 slot, not slow). These members are now required; born stays optional, as the page names it apart from the entry.

The good upstream in tests/StoreClient.cpp has the missing members now.

--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -200,6 +200,17 @@
     checkValues({ViewKind::Upstreams, "service", true, {R"("unknown")"}});
 }
 
+// Guards against an entry that lacks what hosts write and passes for that of a host.
+TEST_CASE("an upstream's entry without a member is not usable", "[OddEntries]")
+{
+    for (const std::string member :
+         {"service", "zone", "version", "state", "addr", "slots", "seq", "slow_start_ms"}) {
+        Members spec = goodSpec(ViewKind::Upstreams);
+        spec.erase(member);
+        checkAnswers(ViewKind::Upstreams, storedObject(R"("i-b")", "5", objectText(spec)), true);
+    }
+}
+
 // Guards against names that identify no host, or that other systems can't carry.
 TEST_CASE("a name that can't be used costs only its entry", "[OddEntries]")
 {
--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -121,7 +121,8 @@
 namespace {
 
 const std::string goodUpstream = R"({"service":"s1","addr":"10.1.0.9:8080","zone":"yala",)"
-                                 R"("slots":2,"state":"ready"})";
+                                 R"("version":"v1","slots":2,"state":"ready","slow_start_ms":0,)"
+                                 R"("seq":4})";
 const std::string goodMember = R"({"domain":"yala","peer":"10.0.0.1:7720","capacity":200})";
 
 /** \brief A store that answers each call with the same body. */
