Apply one limit of nesting to all parts of an answer

The tolerant parser gave each part that it split the full limit of 32 levels, so that an entry of 33 levels more was read in a list and refused in the events of a watch, which are one level deeper: it joined the upstreams with each list and left them with its next event. The levels that were split now count.

--- a/src/store/TolerantParse.cpp
+++ b/src/store/TolerantParse.cpp
@@ -180,6 +180,15 @@
 
 TolerantValue parseValue(std::string_view text, unsigned levels);
 
+/** \returns options by which the levels that were split count, so that a value which is too deep
+ * stays so in each part of an answer. */
+json::parse_options optionsFor(unsigned levels)
+{
+    json::parse_options options;
+    options.max_depth -= splitLevels + 1 - levels;
+    return options;
+}
+
 json::object describe(const JsonFault &fault)
 {
     return {{fault.member, fault.reason}};
@@ -238,7 +247,7 @@
 TolerantValue parseValue(std::string_view text, unsigned levels)
 {
     boost::system::error_code error;
-    json::value value = json::parse(text, error);
+    json::value value = json::parse(text, error, {}, optionsFor(levels));
     if (!error)
         return {std::move(value), {}};
     const bool isContainer = text.starts_with('{') || text.starts_with('[');
--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -211,6 +211,34 @@
     }
 }
 
+// Guards against a stack that overflows, and against work that is not linear in the size.
+TEST_CASE("deep nesting costs only its entry", "[OddEntries]")
+{
+    const auto depth
+        = GENERATE(std::size_t{33}, std::size_t{200}, std::size_t{10'000}, std::size_t{200'000});
+    const auto kind = GENERATE(ViewKind::Upstreams, ViewKind::Members, ViewKind::Evacuations);
+    struct Bracket
+    {
+        std::string opening;
+        std::string closing;
+    };
+    const auto each
+        = GENERATE(values<Bracket>({{"[", "]"}, {R"({"a":)", "}"}, {R"([{"a":)", "}]"}}));
+    std::string nested;
+    for (std::size_t i = 0; i < depth; ++i)
+        nested += each.opening;
+    nested += "1";
+    for (std::size_t i = 0; i < depth; ++i)
+        nested += each.closing;
+    const std::string good = objectText(goodSpec(kind));
+    checkAnswers(kind, withSpec(kind, "x", nested), true);
+    checkAnswers(kind, storedObject(R"("i-b")", "5", nested), true);
+    checkAnswers(kind, storedObject(nested, "5", good), true);
+    checkAnswers(kind, storedObject(R"("i-b")", nested, good), true);
+    checkAnswers(
+        kind, R"({"status":)" + nested + "," + storedObject(R"("i-b")", "5", good).substr(1), true);
+}
+
 // Guards against names that identify no host, or that other systems can't carry.
 TEST_CASE("a name that can't be used costs only its entry", "[OddEntries]")
 {
