Sum the weights of a route's services without overflow

The sum of the weights was kept in 32 bits: with two services of weight 3,000,000,000 it wrapped, and the second got no flows. The choice is the same as before for sums that fit.

The new test failed before ({0} of upstreams {0, 1} were used); it passes now.

--- a/src/steering/PacketSteering.cpp
+++ b/src/steering/PacketSteering.cpp
@@ -1,6 +1,7 @@
 #include "steering/PacketSteering.h"
 
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
 #include <utility>
 
@@ -193,12 +194,12 @@
 
 std::string_view PacketSteering::serviceFor(const Route &route)
 {
-    unsigned total = 0;
+    std::uint64_t total = 0;
     for (const ServiceShare &share : route.services)
         total += share.weight;
     if (total == 0)
         return route.services.empty() ? std::string_view() : route.services.front().service;
-    unsigned offset = static_cast<unsigned>(this->random() % total);
+    std::uint64_t offset = this->random() % total;
     for (const ServiceShare &share : route.services) {
         if (offset < share.weight)
             return share.service;
--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -205,6 +205,23 @@
     CHECK(decision.action == Action::Drop);
 }
 
+// Guards against a service that gets no flows because the sum of the weights overflows.
+TEST_CASE("services of large weights share the flows of a route", "[PacketSteering]")
+{
+    SteeringFixture fixture;
+    fixture.addUpstream("a-1", "a", "s1");
+    fixture.addUpstream("a-2", "a", "s2");
+    constexpr unsigned weight = 3'000'000'000;
+    Configuration next;
+    next.version = 2;
+    next.routes = {{"feed", route, {{"s1", weight}, {"s2", weight}}, RequestKind::Idempotent}};
+    fixture.routes.update(std::make_shared<const Configuration>(next), at(0));
+    std::set<UpstreamIndex> used;
+    for (unsigned i = 1; i <= 64; ++i)
+        used.insert(fixture.decide(syn(caller(i)), 1).upstream);
+    CHECK(used == std::set<UpstreamIndex>{0, 1});
+}
+
 // Guards against callers that time out because their service has no upstream.
 TEST_CASE("a flow that no upstream can take is refused at once", "[PacketSteering]")
 {
