Accept fractions in the configuration as before

The check for whole numbers, added for entries of other writers, also refused a configuration with a fraction as a weight, priority or version, and with it all routes. The store accepts only valid configurations, so only the entries of upstreams and instances are checked.

The new assertion failed before and passes now.

--- a/tests/OddEntries.cpp
+++ b/tests/OddEntries.cpp
@@ -2,6 +2,7 @@
 #include "store/TolerantParse.h"
 #include "view/ViewCodec.h"
 
+#include <boost/json/parse.hpp>
 #include <catch2/catch.hpp>
 
 #include <map>
@@ -185,6 +186,11 @@
     checkValues({ViewKind::Upstreams, "slow_start_ms", true, {"0", "1.5", "1e15"}});
     checkValues({ViewKind::Members, "capacity", false, noCapacity});
     checkValues({ViewKind::Members, "capacity", true, {"0", "4294967295"}});
+    const std::string fractions
+        = R"({"version":7.5,"routes":[{"name":"r","hostname":"198.18.0.1","path_prefix":"/80/",)"
+          R"("route_type":"safe","traffic_split":[{"service":"s1","weight":1.5}]}],"services":[]})";
+    // The store accepts only valid configurations, so a fraction must not cost the routes.
+    CHECK(platform::decodeConfiguration(boost::json::parse(fractions)));
 }
 
 // Guards against entries of other writers that pass for those of hosts.
