Bound the age of the view whatever the depth of the tree

While the store refused the first instances of each domain, each level noticed the loss of its source only after the grace periods of the level above, and a source without a source confirmed itself to its readers by replies without changes. An instance that the store would have answered had a new configuration 8 s late (bound: 5 s).

An instance whose view passes the limit leaves its source by a timer and asks the store, or in domains of 24 instances and more one of the 12 to 23 instances that do. Deadlines back off while no source has a current view. - An instance that the store refuses as well asks other instances of its domain, whose view counts only if it is newer than its own. - A watch that ends at an instance that may not serve its view gets Busy. - view_stale: event and counter.

--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -87,7 +87,7 @@
     }
     const auto pending = std::make_shared<PendingWatch>();
     pending->since = since;
-    pending->direct = request.direct;
+    pending->request = request;
     pending->respond = respond;
     state.pending.push_back(pending);
     pending->timer
@@ -101,6 +101,10 @@
 void ObjectMirror::onWaitExpired(KindState &state, const PendingWatchPtr &pending)
 {
     state.pending.remove(pending);
+    if (!this->hooks.mayServe(pending->request)) {
+        pending->respond(internal::emptyEvents(PlatformResult::Busy));
+        return;
+    }
     const std::uint64_t revision = std::max(state.revision, pending->since);
     pending->respond(internal::emptyEvents(PlatformResult::Ok, revision));
 }
@@ -167,7 +171,7 @@
 {
     for (KindState &state : this->states) {
         for (const PendingWatchPtr &watch : std::exchange(state.pending, {})) {
-            if (!watch->direct) {
+            if (!watch->request.direct) {
                 state.pending.push_back(watch);
                 continue;
             }
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -48,7 +48,8 @@
     /** \brief Replies with all objects, at once or after at most the wait of the request. */
     void list(const ViewRequest &request, const ListResponder &respond);
 
-    /** \brief Replies at the first change after the request's revision, or after its wait. */
+    /** \brief Replies at the first change after the request's revision, or after its wait; then
+     * with Busy if the view may no longer be served. */
     void watch(const ViewRequest &request, const EventsResponder &respond);
 
     /** \brief Answers pending requests with an update of \a kind, which the snapshot already has.
@@ -78,8 +79,8 @@
 
     struct PendingWatch
     {
+        ViewRequest request;
         std::uint64_t since = 0;
-        bool direct = false;
         EventsResponder respond;
         Scheduler::Timer timer;
     };
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -1,5 +1,6 @@
 #include "view/SourcedStore.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -32,6 +33,16 @@
 
 constexpr milliseconds memberWait{15'000};
 
+/** A watch at another instance ends this long before the view is too old, but not at once. */
+constexpr Duration deadlineMargin = milliseconds(200);
+constexpr milliseconds minPeerWait{100};
+
+/** Interval at which an instance with an old view checks whether it may leave its source. */
+constexpr Duration deadlineCheckInterval = milliseconds(100);
+
+/** Two ages of the same view differ by the transit times of the replies that told them. */
+constexpr Duration minAgeDifference = milliseconds(100);
+
 bool isAnswer(PlatformResult result)
 {
     return result == PlatformResult::Ok || result == PlatformResult::Gone;
@@ -163,6 +174,9 @@
         if (std::exchange(watch->done, true))
             return;
         this->pending.remove(watch);
+        if (internal::isAnswer(outcome.result)
+            && !this->isCurrentEnough(watch->source, outcome.freshness))
+            outcome = ViewEvents{PlatformResult::Busy, 0, {}, {}};
         if (!probe && outcome.result == PlatformResult::Ok
             && watch->source == this->sources.current())
             this->confirmed.insert(watch->kind);
@@ -197,10 +211,15 @@
         return internal::initialWait;
     if (kind == ViewKind::Members)
         return internal::memberWait;
-    if (kind == ViewKind::Configurations)
-        return source.isStore() ? internal::storeConfigurationWait
-                                : internal::peerConfigurationWait;
-    return internal::defaultWait;
+    if (kind != ViewKind::Configurations)
+        return internal::defaultWait;
+    if (source.isStore())
+        return internal::storeConfigurationWait;
+    if (!this->isFresh())
+        return internal::peerConfigurationWait;
+    const Duration left = this->sources.freshnessLimit() - this->age() - internal::deadlineMargin;
+    return std::clamp(std::chrono::duration_cast<std::chrono::milliseconds>(left),
+                      internal::minPeerWait, internal::peerConfigurationWait);
 }
 
 bool SourcedStore::isTooOldForStart(const ReplyFreshness &freshness) const
@@ -226,13 +245,10 @@
     // the store for seconds although the store answers it.
     if (source.isStore())
         this->busySince.reset();
-    if (std::exchange(this->verified, false)) {
-        this->lostAt = this->scheduler.now();
-        this->ageAtLoss = this->age();
-    }
-    this->direct = false;
-    this->confirmed.clear();
+    this->noteSourceLost();
     this->storeFailed = this->storeFailed || source.isStore();
+    if (!this->isFresh())
+        this->sources.addAskersAfterStore();
     this->sources.onSourceFailed(this->scheduler.now());
     this->counters.add("source_failed");
     this->log.warn("source_failed", {{"source", source.toString()},
@@ -248,13 +264,68 @@
 {
     this->direct = source.isStore();
     this->verified = true;
-    this->busySince.reset();
     this->noteFreshness(source, freshness);
+    if (this->isFresh())
+        this->busySince.reset();
+}
+
+void SourcedStore::noteSourceLost()
+{
+    if (std::exchange(this->verified, false)) {
+        this->lostAt = this->scheduler.now();
+        this->ageAtLoss = this->age();
+    }
+    this->direct = false;
+    this->confirmed.clear();
+}
+
+bool SourcedStore::isCurrentEnough(const ViewSource &source, const ReplyFreshness &freshness) const
+{
+    const bool inUse = this->verified && this->answeredSource == source;
+    if (source.isStore() || inUse || !this->confirmedAt || this->sources.isStarting())
+        return true;
+    if (!source.mustBeNewer && freshness.age <= this->sources.freshnessLimit())
+        return true;
+    return freshness.age + internal::minAgeDifference <= this->age();
+}
+
+void SourcedStore::startDeadline(Duration minDelay)
+{
+    const Duration left = this->deadline.remaining(this->age(), this->sources.freshnessLimit(),
+                                                   this->scheduler.now());
+    this->deadlineTimer
+        = this->scheduler.after(std::max(left, minDelay), [this] { this->onDeadline(); });
+}
+
+void SourcedStore::onDeadline()
+{
+    const TimePoint now = this->scheduler.now();
+    const Duration limit = this->sources.freshnessLimit();
+    const ViewSource source = this->sources.current();
+    // A call to the store that gets no answer fails by itself.
+    if (source.isStore() || this->sources.isStarting()
+        || this->deadline.remaining(this->age(), limit, now) > Duration::zero()) {
+        this->startDeadline(internal::deadlineCheckInterval);
+        return;
+    }
+    const bool first = this->deadline.onPassed(now);
+    this->noteSourceLost();
+    this->sources.onViewStale(now, !first);
+    this->counters.add("view_stale");
+    this->log.warn("view_stale", {{"source", source.toString()},
+                                  {"age_ms", toMilliseconds(this->age())},
+                                  {"limit_ms", toMilliseconds(limit)}});
+    this->startDeadline(internal::deadlineCheckInterval);
+    this->endProbe(source, false);
+    this->failPending(source);
 }
 
 void SourcedStore::noteFreshness(const ViewSource &source, const ReplyFreshness &freshness)
 {
     this->confirmedAt = this->scheduler.now() - freshness.age;
+    if (this->isFresh())
+        this->deadline.onFresh();
+    this->startDeadline(Duration::zero());
     if (freshness.registryGrace > Duration::zero())
         this->hooks.onRegistryGrace(freshness.registryGrace);
     if (std::exchange(this->answeredSource, source) == source)
@@ -268,6 +339,14 @@
 {
     if (source.isStore() || result != PlatformResult::Busy)
         return false;
+    if (!this->isFresh()) {
+        if (this->deadline.takeHastyAttempt())
+            return false;
+        // The grace period starts once an ancestor has lost its source for good.
+        if (!this->busySince && source.mustBeNewer && !this->sources.asksStoreWhenStale()
+            && this->age() < this->sources.sourceLossGracePeriod())
+            return true;
+    }
     const TimePoint now = this->scheduler.now();
     if (!this->busySince)
         this->busySince = now;
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -3,6 +3,7 @@
 #include "base/Counters.h"
 #include "base/Scheduler.h"
 #include "service/Log.h"
+#include "view/FreshnessDeadline.h"
 #include "view/ObjectSource.h"
 #include "view/ViewSources.h"
 
@@ -33,7 +34,8 @@
  *
  * While the instance starts, each list is requested from several sources. Otherwise, when a call to
  * a source fails, all watches pending at it fail too. A source that stops responding is thus
- * abandoned as soon as the watch with the shortest wait times out.
+ * abandoned as soon as the watch with the shortest wait times out. It is also abandoned when the
+ * view passes the limit on its age, whatever the source replies.
  */
 class SourcedStore : public ViewStore
 {
@@ -96,6 +98,14 @@
     [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind, const ViewSource &source) const;
     void failPending(const ViewSource &source);
 
+    /** \returns whether a source that was not in use has a view that is worth to be followed. */
+    [[nodiscard]] bool isCurrentEnough(const ViewSource &source,
+                                       const ReplyFreshness &freshness) const;
+    [[nodiscard]] bool isFresh() const { return this->age() <= this->sources.freshnessLimit(); }
+    void startDeadline(Duration minDelay);
+    void onDeadline();
+    void noteSourceLost();
+
     const Scheduler &scheduler;
     ObjectSource &store;
     ViewSources &sources;
@@ -117,6 +127,8 @@
     std::optional<TimePoint> lostAt;      //!< When the current source stopped responding.
     Duration ageAtLoss{};                 //!< Age of the view when the source stopped responding.
     TimePoint startedAt;
+    FreshnessDeadline deadline;
+    Scheduler::Timer deadlineTimer;
     bool probePending = false;
     bool verified = false; //!< The current source has answered since the last failure.
     bool direct = false;
--- a/src/view/ViewSource.h
+++ b/src/view/ViewSource.h
@@ -17,6 +17,10 @@
     /** A list may be answered late, once the other instance has read its view. */
     bool mayWait = false;
 
+    /** Only a view that the store has confirmed later than the reader's counts as an answer: this
+     * source may read from the reader itself. */
+    bool mustBeNewer = false;
+
     [[nodiscard]] bool isStore() const { return !this->peer.has_value(); }
     [[nodiscard]] std::string toString() const
     {
--- a/src/view/ViewSources.cpp
+++ b/src/view/ViewSources.cpp
@@ -1,6 +1,7 @@
 #include "view/ViewSources.h"
 
 #include "base/KeyedHash.h"
+#include "view/FreshnessDeadline.h"
 
 #include <algorithm>
 #include <set>
@@ -39,6 +40,19 @@
 
 constexpr std::uint64_t selectionKey = 0x6368'6f69'6365'0001;
 
+/** Instances of a domain that ask the store when their views become too old, at least. */
+constexpr std::size_t minStoreAskers = 12;
+
+/** Instances that are asked for a newer view in turn, before and after the store. */
+constexpr std::size_t askersBeforeStore = 4;
+constexpr std::size_t askersAfterStore = 3;
+
+bool asksStore(std::size_t rank, std::size_t instances)
+{
+    const std::size_t stride = std::max<std::size_t>(1, instances / minStoreAskers);
+    return rank % stride == 0;
+}
+
 bool ranksBefore(const Member &first, const Member &second)
 {
     if (first.capacity != second.capacity)
@@ -105,13 +119,20 @@
         if (member.domain == this->self.domain && !internal::ranksBefore(member, this->self))
             this->domainTree.push_back(member.peer);
     }
+    this->storeAskers.clear();
+    for (std::size_t index = 0; index < this->domainTree.size(); ++index) {
+        if (index != this->rank && internal::asksStore(index, this->domainTree.size()))
+            this->storeAskers.push_back(this->domainTree[index]);
+    }
 }
 
 void ViewSources::listSources()
 {
     this->sources.clear();
     this->addAncestors();
+    this->addStoreAskers(0, internal::askersBeforeStore);
     this->addSource({});
+    this->addStoreAskers(internal::askersBeforeStore, internal::askersAfterStore);
     this->addOtherDomains();
 }
 
@@ -139,6 +160,17 @@
     }
 }
 
+void ViewSources::addStoreAskers(std::size_t offset, std::size_t count)
+{
+    if (!this->stale || this->storeAskers.empty())
+        return;
+    const std::size_t first = internal::nameHash(this->self) + this->nextAsker + offset;
+    for (std::size_t i = 0; i < std::min(count, this->storeAskers.size()); ++i) {
+        const Endpoint peer = this->storeAskers[(first + i) % this->storeAskers.size()];
+        this->sources.push_back({peer, false, false, true});
+    }
+}
+
 void ViewSources::addSource(const ViewSource &source)
 {
     const auto same = [&](const ViewSource &known) {
@@ -229,6 +261,37 @@
     this->currentIndex = (this->currentIndex + 1) % this->sources.size();
 }
 
+void ViewSources::onViewStale(TimePoint now, bool storeTried)
+{
+    this->failedAt = now;
+    this->stale = true;
+    // Those of the last time may have had no current view either.
+    this->nextAsker += internal::askersBeforeStore + internal::askersAfterStore;
+    this->listSources();
+    this->currentIndex = this->storeIndex();
+    if (this->asksStoreWhenStale()) {
+        this->currentIndex += storeTried ? 1 : 0;
+        this->currentIndex %= this->sources.size();
+        return;
+    }
+    const auto asker = std::ranges::find_if(this->sources, &ViewSource::mustBeNewer);
+    if (asker != this->sources.end())
+        this->currentIndex = static_cast<std::size_t>(asker - this->sources.begin());
+}
+
+void ViewSources::addAskersAfterStore()
+{
+    if (!this->followsStore() || std::exchange(this->stale, true))
+        return;
+    this->listSources();
+    this->currentIndex = this->storeIndex();
+}
+
+bool ViewSources::asksStoreWhenStale() const
+{
+    return internal::asksStore(this->rank, this->domainTree.size());
+}
+
 void ViewSources::onViewComplete()
 {
     if (std::exchange(this->starting, false))
@@ -246,8 +309,11 @@
     if (this->directRequestAt && now - *this->directRequestAt < internal::directRequestHold)
         return;
     this->directRequestAt.reset();
-    if (this->currentIndex != 0 && now - this->failedAt >= internal::preferredRetryDelay)
-        this->currentIndex = 0;
+    if (this->currentIndex == 0 || now - this->failedAt < internal::preferredRetryDelay)
+        return;
+    this->currentIndex = 0;
+    if (std::exchange(this->stale, false))
+        this->listSources();
 }
 
 void ViewSources::onDirectRequest(TimePoint now)
@@ -267,6 +333,11 @@
     return internal::minBusyGrace + this->rank * internal::busyGracePerRank;
 }
 
+Duration ViewSources::freshnessLimit() const
+{
+    return FreshnessDeadline::limitOf(this->rank, maxChildren);
+}
+
 Duration ViewSources::sourceLossGracePeriod() const
 {
     const Duration grace = internal::minSourceLossGrace
--- a/src/view/ViewSources.h
+++ b/src/view/ViewSources.h
@@ -23,7 +23,9 @@
  * \c maxChildren children. Parents rank before their children on every instance, so instances
  * with different member lists cannot form a loop. After a failure an instance uses the next source
  * of its list: its other ancestors, the store, and instances of other domains that read from the
- * store. An instance that is required to read from the store starts to do so.
+ * store. An instance that is required to read from the store starts to do so. Once the view has
+ * become too old, the list also has instances of any rank, which may have a current view while the
+ * store refuses this one and its ancestors.
  *
  * A starting instance knows no other one except its seeds. It lists the members from the store or a
  * seed, the rest from the store, a strong instance of its domain or a seed; in a large domain the
@@ -57,6 +59,18 @@
     /** \brief Selects the next source because the current one did not respond. */
     void onSourceFailed(TimePoint now);
 
+    /** \brief Selects the store because the view has become too old; or, if the store has been
+     * tried or this instance leaves that to others, an instance that asks the store. */
+    void onViewStale(TimePoint now, bool storeTried);
+
+    /** \brief Notes that the store has failed and the view is too old, so that other instances
+     * follow in the list even if this instance has no source but the store. */
+    void addAskersAfterStore();
+
+    /** \returns whether this instance asks the store when its view becomes too old. In a large
+     * domain some of all ranks do, and the others ask these. */
+    [[nodiscard]] bool asksStoreWhenStale() const;
+
     /** \brief Ends the start and selects the preferred source. */
     void onViewComplete();
     [[nodiscard]] bool isStarting() const { return this->starting; }
@@ -78,6 +92,9 @@
      * source. */
     [[nodiscard]] Duration sourceLossGracePeriod() const;
 
+    /** \returns the age of the view at which this instance leaves its source. */
+    [[nodiscard]] Duration freshnessLimit() const;
+
     /** \returns whether this instance is among the \a count instances that rendezvous hashing
      * selects for \a subject; instances with the same members agree. */
     [[nodiscard]] bool isSelected(std::string_view subject, unsigned count) const;
@@ -102,6 +119,10 @@
     void listSources();
     void addAncestors();
     void addOtherDomains();
+
+    /** \brief Adds some of the instances that ask the store when their views become too old, if
+     * this instance's view has. */
+    void addStoreAskers(std::size_t offset, std::size_t count);
     void addSource(const ViewSource &source);
     [[nodiscard]] std::size_t storeIndex() const;
 
@@ -120,6 +141,9 @@
     std::vector<ViewSource> sources;  //!< In order of preference; never empty.
     std::optional<ViewSource> startSource; //!< Instance that has answered before the store.
     std::size_t currentIndex = 0;
+    std::vector<Endpoint> storeAskers; //!< Other instances that ask the store with an old view.
+    std::size_t nextAsker = 0;         //!< Selects those that are listed.
+    bool stale = false;                //!< The view has become too old at the preferred source.
     bool starting = true;
     TimePoint failedAt{};
     std::optional<TimePoint> directRequestAt;
