--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -506,8 +506,9 @@
     Counters counters;
     platform::StoreClient client(context, startServer(server), counters);
     const auto name = GENERATE(as<std::string>(), "../config/main", "a?revision=1", "a b");
-    const auto result = await<PlatformResult>(
-        context, [&](auto handler) { client.removeMember(name, {0, 5}, std::move(handler)); });
+    const auto result = await<PlatformResult>(context, [&](auto handler) {
+        client.removeMember(name, {0, 5}, std::move(handler));
+    });
     CHECK(result == PlatformResult::Ok);
     CHECK(targets == std::vector<std::string>{"/-/objects/instances/" + name});
 }
