--- a/tests/SimulatedFaults.cpp
+++ b/tests/SimulatedFaults.cpp
@@ -55,6 +55,40 @@
     CHECK(elsewhere.servedShare() >= minServedShareAfterFault);
 }
 
+// Guards against an isolated instance that resets the flows it can't carry, instead of leaving them
+// to the other instances, and against one that stays out of rotation.
+TEST_CASE("An isolated instance leaves rotation and resets no flow", "[SimulatedFaults]")
+{
+    const auto seed = GENERATE(range(1U, 5U));
+    RunSettings settings = sampleRunSettings(24s);
+    settings.instancesPerDomain = 6;
+    const std::vector<PlannedFault> faults{{FaultKind::InstanceIsolated, 4s, 8s, 0.2}};
+    INFO("seed " << seed << '\n' << faultLines(faults));
+    std::map<std::string, std::string> lines; //!< Of the instances that found themselves isolated.
+    std::map<std::string, bool> hasReset;
+    Run run(settings, faults, seed, {[&](const std::string &instance, const std::string &line) {
+                if (line.find("event=instance_connectivity") != std::string::npos
+                    || line.find("event=readiness ") != std::string::npos)
+                    lines[instance] += line + '\n';
+                if (line.find("event=flow_reset") != std::string::npos
+                    || line.find("outcome=upstream_unreachable") != std::string::npos)
+                    hasReset[instance] = true;
+            }});
+    const RunReport report = run.play();
+    checkReport(report, settings);
+    CHECK_FALSE(lines.empty());
+    for (const auto &[instance, text] : lines) {
+        INFO(instance << '\n' << text);
+        const std::size_t isolated = text.find("after=isolated");
+        const std::size_t withdrawn = text.find("outcome=withdrawn");
+        const std::size_t returned = text.find("outcome=returned");
+        CHECK(isolated < withdrawn);
+        CHECK(withdrawn < returned);
+        CHECK(returned != std::string::npos);
+        CHECK_FALSE(hasReset.contains(instance));
+    }
+}
+
 // Guards against changes of operators and upstreams that are lost, or undone for good, when the
 // store returns from a copy while they take place, and against instances that miss a change after
 // its return, since the revisions are smaller than before.
