Move the log lines of Balancer into BalancerLog

BalancerLog writes the log lines and counts changes of state; probe, report and steering decisions stay in Balancer. Event names, keys and their order are unchanged. logDirectoryChange, which also forgets the ejection of an upstream, is now called onDirectoryChange.

--- a/src/balancer/Balancer.cpp
+++ b/src/balancer/Balancer.cpp
@@ -1,7 +1,5 @@
 #include "balancer/Balancer.h"
 
-#include "steering/FlowNames.h"
-
 #include <algorithm>
 #include <cstdint>
 #include <limits>
@@ -33,34 +31,6 @@
         std::min<std::int64_t>(number, std::numeric_limits<std::uint16_t>::max()));
 }
 
-std::string_view livenessCounter(Liveness liveness)
-{
-    switch (liveness) {
-    case Liveness::Alive:
-        return "upstream_alive";
-    case Liveness::Suspect:
-        return "upstream_suspect";
-    case Liveness::Refusing:
-        return "upstream_refusing";
-    case Liveness::Unreachable:
-        return "upstream_unreachable";
-    }
-    return "upstream_alive";
-}
-
-std::string_view ejectionEvent(EjectionChange::Kind kind)
-{
-    switch (kind) {
-    case EjectionChange::Kind::Ejected:
-        return "upstream_ejected";
-    case EjectionChange::Kind::OnTrial:
-        return "upstream_on_trial";
-    case EjectionChange::Kind::Reinstated:
-        return "upstream_reinstated";
-    }
-    return "upstream_ejected";
-}
-
 } // namespace internal
 
 Balancer::Balancer(BalancerOptions options, const Scheduler &scheduler, ObjectSource &store,
@@ -70,13 +40,12 @@
     , scheduler(scheduler)
     , store(store)
     , counters(counters)
-    , log(log)
     , hooks(std::move(hooks))
-    , directory([this](const DirectoryChange &change) { this->logDirectoryChange(change); })
+    , directory([this](const DirectoryChange &change) { this->onDirectoryChange(change); })
     , ejection(this->directory, counters, this->ejectionHooks())
     , capacity(this->directory,
                [this](UpstreamIndex upstream, double before, double after) {
-                   this->onCapacityChange(upstream, before, after);
+                   this->balancerLog.capacityChange(upstream, before, after);
                })
     , steering(
           {this->options.self.domain, this->options.flowCapacity, this->options.learnedCapacity},
@@ -84,6 +53,9 @@
     , sources(this->options.self, this->options.seeds, this->options.firstStart)
     , sharing(scheduler, random, this->sharingHooks())
     , sourcedStore(scheduler, store, this->sources, counters, log, this->sourceHooks())
+    , balancerLog({scheduler, this->directory, this->routes, this->steering, this->sources,
+                   this->sourcedStore},
+                  counters, log)
     , mirror(scheduler, this->mirrorHooks())
     , sweeper(scheduler, memberStore, this->options.self.name, counters, log, this->sweeperHooks())
     , view(scheduler, this->sourcedStore, random,
@@ -112,7 +84,7 @@
               this->onLivenessChange(upstream, before, evidence);
           };
     result.onReachabilityChange = [this](const ReachabilityChange &change) {
-        this->onReachabilityChange(change);
+        this->balancerLog.reachabilityChange(change);
     };
     result.isBudgetSharer = [this](std::string_view upstream, unsigned count) {
         return this->sources.isSelected(upstream, count);
@@ -125,10 +97,7 @@
     };
     result.resetFlow = [this](const FlowPacket &flow, UpstreamIndex upstream) {
         this->hooks.resetCaller(flow);
-        this->log.info("flow_reset", {{"flow", flowName(flow)},
-                                      {"reason", "upstream_unreachable"},
-                                      {"upstream", this->directory.at(upstream).entry.name},
-                                      {"proof", this->proofOf(upstream)}});
+        this->balancerLog.flowReset(flow, upstream);
     };
     result.latency = this->observerHooks();
     return result;
@@ -228,12 +197,7 @@
           && this->steering.failureDetector().reachesNoUpstream(this->scheduler.now());
     if (std::exchange(this->isolated, isolated) == isolated)
         return;
-    if (isolated)
-        this->counters.add("instance_isolated");
-    this->log.warn("instance_connectivity",
-                   {{"after", isolated ? "isolated" : "connected"},
-                    {"any_answer_ms", this->ageOf(this->steering.failureDetector().lastAnswer())},
-                    {"age_ms", toMilliseconds(this->sourcedStore.age())}});
+    this->balancerLog.connectivity(isolated);
     if (isolated)
         this->readiness.onSuspicion();
     else
@@ -303,8 +267,7 @@
 {
     if (std::exchange(this->stopping, true))
         return;
-    this->log.info("stop", {{"flows", this->steering.flowCount()},
-                            {"delay_ms", toMilliseconds(this->options.stopDelay)}});
+    this->balancerLog.stop(this->options.stopDelay);
     // The routers remove this instance after its next readiness checks; packets arrive until then.
     this->mirror.refuseAllPending();
     this->readiness.stop();
@@ -317,7 +280,7 @@
 {
     const SteeringDecision decision = this->steering.decide(packet, now);
     ++this->decisions.at(static_cast<std::size_t>(decision.reason));
-    this->logDecision(decision, packet, datagram);
+    this->balancerLog.decision(decision, packet, datagram);
     if (const UpstreamIndex trial = this->steering.takeTrial(); trial != noUpstream)
         this->ejection.onTrialPlaced(trial);
     return decision;
@@ -347,38 +310,6 @@
     return this->readiness.isWithdrawn() ? "withdrawn" : "";
 }
 
-void Balancer::logDecision(const SteeringDecision &decision, const FlowPacket &packet,
-                           std::span<const std::byte> datagram)
-{
-    const bool usual = decision.reason == SteeringReason::KnownUpstream;
-    if (usual && packet.dataBytes == 0)
-        return;
-    const std::string_view request
-        = packet.dataBytes > 0 ? findRequestId(datagram) : std::string_view();
-    if (usual && request.empty())
-        return;
-    const std::string_view upstream
-        = decision.upstream == noUpstream
-              ? std::string_view("none")
-              : std::string_view(this->directory.at(decision.upstream).entry.name);
-    if (packet.syn) {
-        const PlacementChoice &choice = this->steering.lastChoice();
-        this->log.info("flow_placed", {{"flow", flowName(packet)},
-                                       {"copy", packet.acknowledged},
-                                       {"outcome", toString(decision.reason)},
-                                       {"upstream", upstream},
-                                       {"candidates", choice.candidates},
-                                       {"score", choice.score},
-                                       {"version", this->routes.version()}});
-        return;
-    }
-    this->log.info(usual ? "request" : "packet_refused", {{"flow", flowName(packet)},
-                                                          {"request", request},
-                                                          {"outcome", toString(decision.reason)},
-                                                          {"upstream", upstream},
-                                                          {"version", this->routes.version()}});
-}
-
 void Balancer::scheduleTick()
 {
     const auto next = this->steering.nextTick();
@@ -402,18 +333,7 @@
 
 void Balancer::reportStatus()
 {
-    this->log.info("status", {{"flows", this->steering.flowCount()},
-                              {"upstreams", this->directory.registeredCount()},
-                              {"version", this->routes.version()},
-                              {"instances", this->sources.instances()},
-                              {"direct", this->sourcedStore.isDirect() ? 1 : 0},
-                              {"source", this->sources.current().toString()},
-                              {"age_ms", toMilliseconds(this->sourcedStore.age())},
-                              {"store_lists", this->counters.value("store_list")},
-                              {"store_watches", this->counters.value("store_watch")},
-                              {"store_writes", this->counters.value("store_write")},
-                              {"probes", this->counters.value("probe")},
-                              {"unreachable_domains", this->unreachableDomains()}});
+    this->balancerLog.status();
     this->statusTimer
         = this->scheduler.after(internal::statusInterval, [this] { this->reportStatus(); });
 }
@@ -440,42 +360,15 @@
         this->sharing.start();
     const bool late = this->scheduler.now() - this->startedAt > internal::maxPacketWait;
     this->hooks.onReady(late);
-    this->log.info("ready", {{"upstreams", this->directory.registeredCount()},
-                             {"routes", this->routes.size()},
-                             {"version", this->routes.version()},
-                             {"source", this->sources.current().toString()},
-                             {"age_ms", toMilliseconds(this->sourcedStore.age())}});
+    this->balancerLog.ready();
     if (!this->stopping)
         this->readiness.start();
 }
 
-std::string_view Balancer::proofOf(UpstreamIndex upstream) const
-{
-    return toString(this->directory.at(upstream).health.proof());
-}
-
-std::int64_t Balancer::ageOf(TimePoint time) const
-{
-    return time == TimePoint{} ? -1 : toMilliseconds(this->scheduler.now() - time);
-}
-
 void Balancer::onLivenessChange(UpstreamIndex upstream, Liveness before, std::string_view evidence)
 {
+    this->balancerLog.livenessChange(upstream, before, evidence);
     const Upstream &changed = this->directory.at(upstream);
-    const Duration silence = this->scheduler.now() - changed.health.lastAnswer();
-    const FailureDetector &detector = this->steering.failureDetector();
-    this->counters.add(internal::livenessCounter(changed.health.liveness()));
-    this->log.info("upstream_belief",
-                   {{"upstream", changed.entry.name},
-                    {"domain", changed.entry.domain},
-                    {"before", toString(before)},
-                    {"after", toString(changed.health.liveness())},
-                    {"evidence", evidence},
-                    {"last_answer_ms", toMilliseconds(silence)},
-                    {"proof", this->proofOf(upstream)},
-                    {"any_answer_ms", this->ageOf(detector.lastAnswer())},
-                    {"reference_ms", this->ageOf(detector.lastConnectedProbeStart())},
-                    {"flows", changed.openFlows}});
     const bool suspect = changed.health.liveness() != Liveness::Alive;
     if (suspect && changed.entry.domain != this->options.self.domain)
         this->readiness.onSuspicion();
@@ -496,15 +389,7 @@
 
 void Balancer::onEjectionChange(const EjectionChange &change)
 {
-    const UpstreamEntry &entry = this->directory.at(change.upstream).entry;
-    this->log.info(internal::ejectionEvent(change.kind),
-                   {{"upstream", entry.name},
-                    {"service", entry.service},
-                    {"evidence", toString(change.evidence)},
-                    {"failures", change.failures},
-                    {"requests", change.requests},
-                    {"service_share", change.serviceShare},
-                    {"delay_ms", toMilliseconds(change.delay)}});
+    this->balancerLog.ejectionChange(change);
     const bool byOwnTrials = change.kind == EjectionChange::Kind::Reinstated
                              && change.evidence == EjectionEvidence::Trial;
     if (byOwnTrials)
@@ -539,45 +424,13 @@
     return reports;
 }
 
-void Balancer::onReachabilityChange(const ReachabilityChange &change)
-{
-    if (change.unreachable)
-        this->counters.add("domain_unreachable");
-    const std::string_view reachable = "reachable";
-    const std::string_view unreachable = "unreachable";
-    this->log.info("domain_reachability", {{"domain", this->directory.domainName(change.domain)},
-                                           {"before", change.unreachable ? reachable : unreachable},
-                                           {"after", change.unreachable ? unreachable : reachable},
-                                           {"evidence", change.evidence},
-                                           {"failed", change.failedUpstreams},
-                                           {"last_answer_ms", this->ageOf(change.lastAnswer)}});
-}
-
-void Balancer::onCapacityChange(UpstreamIndex upstream, double before, double after)
-{
-    this->counters.add(after < before ? "capacity_lowered" : "capacity_raised");
-    const UpstreamEntry &entry = this->directory.at(upstream).entry;
-    this->log.info("upstream_capacity", {{"upstream", entry.name},
-                                         {"service", entry.service},
-                                         {"before", before},
-                                         {"after", after}});
-}
-
-void Balancer::logDirectoryChange(const DirectoryChange &change)
+void Balancer::onDirectoryChange(const DirectoryChange &change)
 {
     // Neither a new process nor another upstream at this index has failed a request.
     if (change.kind == DirectoryChange::Kind::Restarted
         || change.kind == DirectoryChange::Kind::Added)
         this->ejection.forget(change.upstream);
-    const Upstream &changed = this->directory.at(change.upstream);
-    const UpstreamEntry &entry = changed.entry;
-    this->log.info("upstream_entry", {{"upstream", entry.name},
-                                      {"change", toString(change.kind)},
-                                      {"service", entry.service},
-                                      {"domain", entry.domain},
-                                      {"address", entry.address.toString()},
-                                      {"revision", changed.revision.number},
-                                      {"slow_start_ms", toMilliseconds(entry.slowStart)}});
+    this->balancerLog.directoryChange(change);
 }
 
 bool Balancer::mayServe(const ViewRequest &request)
--- a/src/balancer/Balancer.h
+++ b/src/balancer/Balancer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancer/BalancerLog.h"
 #include "balancer/BalancerOptions.h"
 #include "balancer/InstanceExplanation.h"
 #include "base/Counters.h"
@@ -151,8 +152,6 @@
     void startReferenceProbe(UpstreamIndex upstream);
     void startInstanceProbe(DomainIndex domain);
     [[nodiscard]] std::string_view notReadyReason() const;
-    void logDecision(const SteeringDecision &decision, const FlowPacket &packet,
-                     std::span<const std::byte> datagram);
     void onTick();
     void reportStatus();
     void onViewChange();
@@ -165,18 +164,11 @@
     /** \brief Checks whether neither an upstream nor a source of the view is reached. */
     void updateIsolation();
 
-    /** \returns how an upstream is confirmed down, for the log. */
-    [[nodiscard]] std::string_view proofOf(UpstreamIndex upstream) const;
-
-    /** \returns the age in ms, or -1 if the event never happened. */
-    [[nodiscard]] std::int64_t ageOf(TimePoint time) const;
     void onOutcome(const RequestObservation &observation);
     void onEjectionChange(const EjectionChange &change);
-    void onCapacityChange(UpstreamIndex upstream, double before, double after);
-    void onReachabilityChange(const ReachabilityChange &change);
     void onReport(const OutcomeReport &report);
     [[nodiscard]] OutcomeReports ejections() const;
-    void logDirectoryChange(const DirectoryChange &change);
+    void onDirectoryChange(const DirectoryChange &change);
     [[nodiscard]] bool mayServe(const ViewRequest &request);
     [[nodiscard]] ReplyFreshness freshness() const;
 
@@ -184,7 +176,6 @@
     const Scheduler &scheduler;
     ObjectSource &store;
     Counters &counters;
-    Log &log;
     BalancerHooks hooks;
     UpstreamDirectory directory;
     RouteTable routes;
@@ -194,6 +185,7 @@
     ViewSources sources;
     OutcomeSharing sharing;
     SourcedStore sourcedStore;
+    BalancerLog balancerLog;
     ObjectMirror mirror;
     MemberSweeper sweeper;
     ViewFollower view;
