Move the tracking of the store's era into StoreEraTracker

ViewFollower applied updates and also detected that the store returned from an older copy. StoreEraTracker now keeps the eras of the kinds and the evacuations held for the grace period; ViewFollower applies their end. Lines, counters and the order of calls are unchanged.

--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -77,6 +77,8 @@
     , log(log)
     , onChange(std::move(onChange))
     , malformedObjects(counters, log)
+    , eras(scheduler, targets.directory, counters, log,
+           [this](const std::set<std::string> &domains) { this->onHeldEvacuationsEnded(domains); })
     , upstreamWatch(
           scheduler, store, random, ViewKind::Upstreams,
           [this](const ViewUpdate &update) { this->onUpstreams(update); },
@@ -114,7 +116,7 @@
     this->malformedObjects.report(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
-    const bool restored = this->isRestored(ViewKind::Upstreams, update);
+    const bool restored = this->eras.onUpdate(ViewKind::Upstreams, update.revision);
     const RegistryOrigin origin = restored ? RegistryOrigin::Copy : RegistryOrigin::Current;
     const std::uint64_t updateEra = update.revision.era;
     if (update.complete) {
@@ -138,7 +140,7 @@
 {
     this->malformedObjects.report(ViewKind::Configurations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Configurations);
-    const bool restored = this->isRestored(ViewKind::Configurations, update);
+    const bool restored = this->eras.onUpdate(ViewKind::Configurations, update.revision);
     for (const ViewEvent &event : update.events) {
         const auto *next = internal::valueOf<ConfigurationPtr>(event);
         if (next == nullptr)
@@ -161,7 +163,7 @@
 {
     this->malformedObjects.report(ViewKind::Evacuations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
-    const bool restored = this->isRestored(ViewKind::Evacuations, update);
+    const bool restored = this->eras.onUpdate(ViewKind::Evacuations, update.revision);
     std::map<std::string, std::uint64_t> next;
     if (!update.complete)
         next = this->evacuated;
@@ -180,13 +182,13 @@
         if (this->evacuated.contains(domain))
             continue;
         if (restored)
-            this->keepLostEvacuation(domain);
+            this->eras.holdEvacuation(domain);
         else
             this->applyEvacuation(domain, false);
     }
     for (const auto &[domain, revision] : this->evacuated) {
         const bool inForce
-            = evacuatedBefore.contains(domain) || this->lostEvacuations.erase(domain) > 0;
+            = evacuatedBefore.contains(domain) || this->eras.releaseEvacuation(domain);
         if (!inForce)
             this->applyEvacuation(domain, true);
     }
@@ -199,7 +201,7 @@
 {
     this->malformedObjects.report(ViewKind::Members, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Members);
-    const bool restored = this->isRestored(ViewKind::Members, update);
+    const bool restored = this->eras.onUpdate(ViewKind::Members, update.revision);
     if (update.complete)
         this->members.clear();
     for (const ViewEvent &event : update.events) {
@@ -257,7 +259,7 @@
 
 void ViewFollower::applyVerification(const ViewList &list, TimePoint startedAt)
 {
-    this->noteEra(list.revision);
+    this->eras.onRevision(list.revision);
     const bool wasAway = std::exchange(this->verificationFailed, false) || !this->upstreamsReachable
                          || this->store.age() > internal::maxConfirmedAge;
     if (wasAway)
@@ -317,39 +319,9 @@
     this->log.info(isEvacuated ? "domain_evacuated" : "domain_returned", {{"domain", domain}});
 }
 
-bool ViewFollower::isRestored(ViewKind kind, const ViewUpdate &update)
+void ViewFollower::onHeldEvacuationsEnded(const std::set<std::string> &domains)
 {
-    auto &known = this->kindEras.at(static_cast<std::size_t>(kind));
-    const bool restored = known && *known < update.revision.era;
-    known = update.revision.era;
-    this->noteEra(update.revision);
-    return restored;
-}
-
-void ViewFollower::noteEra(StoreRevision revision)
-{
-    if (!this->era)
-        this->era = revision.era;
-    if (revision.era <= *this->era)
-        return;
-    const std::uint64_t before = std::exchange(*this->era, revision.era);
-    this->counters.add("store_restored");
-    this->log.warn("store_restored",
-                   {{"before", before}, {"after", revision.era}, {"revision", revision.number}});
-    this->targets.directory.registryRecovered(this->scheduler.now());
-}
-
-void ViewFollower::keepLostEvacuation(const std::string &domain)
-{
-    this->lostEvacuations.insert(domain);
-    const Duration grace = this->targets.directory.graceEnd() - this->scheduler.now();
-    this->lostEvacuationsTimer = this->scheduler.after(std::max(grace, Duration::zero()),
-                                                       [this] { this->endLostEvacuations(); });
-}
-
-void ViewFollower::endLostEvacuations()
-{
-    for (const std::string &domain : std::exchange(this->lostEvacuations, {}))
+    for (const std::string &domain : domains)
         this->applyEvacuation(domain, false);
     this->onChange();
 }
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -8,8 +8,8 @@
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
 #include "view/SourcedStore.h"
+#include "view/StoreEraTracker.h"
 
-#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -57,7 +57,7 @@
     [[nodiscard]] bool hasMember(const Member &member) const;
 
     /** \returns the latest era of the store that this instance knows; 0 if none. */
-    [[nodiscard]] std::uint64_t storeEra() const { return this->era.value_or(0); }
+    [[nodiscard]] std::uint64_t storeEra() const { return this->eras.latest(); }
 
     /** \returns whether registry, configuration and evacuations have been read. */
     [[nodiscard]] bool isComplete() const;
@@ -74,14 +74,8 @@
     void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update,
                  bool restored);
     void onReachable(ViewKind kind, bool reachable);
-
-    /** \returns whether the update is the first of its kind since the store returned from a copy.
-     */
-    [[nodiscard]] bool isRestored(ViewKind kind, const ViewUpdate &update);
-    void noteEra(StoreRevision revision);
     void applyVerification(const ViewList &list, TimePoint startedAt);
-    void keepLostEvacuation(const std::string &domain);
-    void endLostEvacuations();
+    void onHeldEvacuationsEnded(const std::set<std::string> &domains);
     void applyEvacuation(const std::string &domain, bool isEvacuated);
 
     const Scheduler &scheduler;
@@ -91,6 +85,7 @@
     Log &log;
     ChangeHandler onChange;
     MalformedObjects malformedObjects;
+    StoreEraTracker eras;
     ViewWatch upstreamWatch;
     ViewWatch configurationWatch;
     ViewWatch evacuationWatch;
@@ -98,10 +93,6 @@
     MemberEntries members;
     std::optional<ViewItem> configuration;          //!< Configuration in force.
     std::map<std::string, std::uint64_t> evacuated; //!< Store revisions of evacuated domains.
-    std::set<std::string> lostEvacuations; //!< Missing from a copy; in force for the grace period.
-    Scheduler::Timer lostEvacuationsTimer;
-    std::optional<std::uint64_t> era;                                 //!< Latest known.
-    std::array<std::optional<std::uint64_t>, viewKindCount> kindEras; //!< Of the last updates.
     TimePoint lastVerificationAt{};
     bool verificationFailed = false;
     StoreRevision upstreamsRevision; //!< Store revision up to which upstreams are known.
