--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,6 +49,13 @@
 /** \brief One instance in domain "a" with upstreams in two domains, in virtual time. */
 class SteeringFixture
 {
+    struct Probe
+    {
+        UpstreamIndex upstream;
+        int startedAt;
+        bool isReference;
+    };
+
 public:
     SteeringFixture()
         : steering({"a", 1'000}, this->directory, this->routes, this->random, this->hooks())
@@ -79,15 +87,20 @@
         for (; this->now < ms; this->now += 5) {
             this->steering.tick(at(this->now));
             for (std::size_t i = 0; i < this->probes.size(); ++i) {
-                const auto [upstream, started] = this->probes[i];
+                const auto [upstream, started, isReference] = this->probes[i];
                 const auto found = results.find(upstream);
-                const ProbeResult result
+                ProbeResult result
                     = found == results.end() ? ProbeResult::Connected : found->second;
+                if (this->link && !this->link(started))
+                    result = ProbeResult::TimedOut;
                 const int duration = result == ProbeResult::TimedOut ? 110 : 1;
                 if (this->now - started < duration)
                     continue;
                 this->probes.erase(this->probes.begin() + static_cast<std::ptrdiff_t>(i--));
-                this->steering.onProbeResult(upstream, result, at(started), at(this->now));
+                if (isReference)
+                    this->steering.onReferenceResult(upstream, result, at(started), at(this->now));
+                else
+                    this->steering.onProbeResult(upstream, result, at(started), at(this->now));
             }
         }
     }
@@ -111,10 +124,12 @@
     UpstreamDirectory directory{{}};
     RouteTable routes;
     Random random{1};
-    std::vector<std::pair<UpstreamIndex, int>> probes;
+    std::vector<Probe> probes;
     std::vector<Endpoint> resets;
     unsigned verifications = 0;
     unsigned referenceProbes = 0;
+    /** Whether a probe that starts at this time is answered; references then take as long. */
+    std::function<bool(int ms)> link;
     bool referenceReached = true;
     std::set<std::string> refusingDomains; //!< Reference probes to their upstreams are refused.
     std::string refusingService;           //!< Only upstreams of this service refuse, if set.
@@ -127,10 +142,14 @@
     {
         SteeringHooks result;
         result.startProbe = [this](UpstreamIndex upstream) {
-            this->probes.emplace_back(upstream, this->now);
+            this->probes.push_back({upstream, this->now, false});
         };
         result.startReferenceProbe = [this](UpstreamIndex upstream) {
             ++this->referenceProbes;
+            if (this->link) {
+                this->probes.push_back({upstream, this->now, true});
+                return;
+            }
             const UpstreamEntry &entry = this->directory.at(upstream).entry;
             const bool refused
                 = this->refusingDomains.contains(entry.domain)
@@ -727,3 +746,44 @@
     fixture.steering.registryVerified(at(2'300));
     CHECK(fixture.decide(packet, 2'400).reason == SteeringReason::UnknownUpstream);
 }
+
+// Guards against resets of flows whose upstream works: a view update congests the link of an
+// instance that is idle, so that it has no answer from anyone for a while.
+TEST_CASE("an idle instance with a congested link resets no open flow", "[PacketSteering]")
+{
+    constexpr int requestAt = 10'000;
+    struct Case
+    {
+        const char *what;
+        int from; //!< The congestion, in ms after the request.
+        int until;
+        bool upstreamDown;
+    };
+    const auto test = GENERATE(values<Case>({
+        {"congested for a short time", 0, 300, false},
+        {"congested for longer than a probe interval", 0, 900, false},
+        {"congested from the first probe on", 110, 800, false},
+        {"congested for seconds", -500, 3'000, false},
+        {"the upstream is down, the link is free", 0, 0, true},
+    }));
+    INFO(test.what);
+    SteeringFixture fixture;
+    for (int i = 0; i < 9; ++i)
+        fixture.addUpstream("u-" + std::to_string(i),
+                            std::string(1, static_cast<char>('a' + i % 3)));
+    fixture.link = [&](int ms) {
+        return ms < requestAt + test.from || ms >= requestAt + test.until;
+    };
+    FlowPacket packet = data(caller(1), fixture.tagOf(0), 100, 500, 0);
+    static_cast<void>(fixture.decide(packet, 0));
+    packet.dataBytes = 50;
+    fixture.now = requestAt;
+    std::size_t resets = 0;
+    for (const int end : {200, 600, 5'000}) {
+        const auto decision = fixture.decide(packet, fixture.now);
+        resets += decision.action == Action::Reset ? 1 : 0;
+        fixture.runUntil(requestAt + end,
+                         {{0, test.upstreamDown ? ProbeResult::TimedOut : ProbeResult::Connected}});
+    }
+    CHECK((resets + fixture.resets.size() > 0) == test.upstreamDown);
+}
