Let one scripted store play the pages and removals too

The paged store and the server of the removal test are gone: ScriptedStore can follow its answer by another one, and notes the requested names and paths. The pages have the same bodies; the eras, names and expected results are unchanged.

--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -125,14 +125,28 @@
                                  R"("seq":4})";
 const std::string goodMember = R"({"domain":"yala","peer":"10.0.0.1:7720","capacity":200})";
 
-/** \brief A store that answers each call with the same body. */
+/** \brief A store that answers each call with the same body, unless others follow. */
 struct ScriptedStore
 {
     explicit ScriptedStore(std::string body)
         : body(std::move(body))
     {
-        this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &) {
-            return HttpReply{200, this->body, "application/json", {}, this->headers};
+        this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &request) {
+            this->after.push_back(request.parameter("after"));
+            const std::string reply = this->body;
+            this->body = std::exchange(this->nextBody, std::nullopt).value_or(reply);
+            return HttpReply{200, reply, "application/json", {}, this->headers};
+        });
+        this->server.route("DELETE", "/-/objects/*", [this](const HttpRequestView &request) {
+            this->removed.push_back(request.path);
+            return HttpReply{200, "{}", "application/json", {}};
+        });
+    }
+
+    PlatformResult removeMember(const std::string &name, StoreRevision revision)
+    {
+        return await<PlatformResult>(this->context, [&](auto handler) {
+            this->client.removeMember(name, revision, std::move(handler));
         });
     }
 
@@ -151,6 +165,9 @@
     }
 
     std::string body;
+    std::optional<std::string> nextBody;
+    std::vector<std::optional<std::string>> after; //!< Names in the requests for objects.
+    std::vector<std::string> removed;              //!< Paths in the requests to remove one.
     std::vector<HttpHeader> headers;
     asio::io_context context;
     HttpServer server{context, Endpoint{0x7f000001, 0}};
@@ -390,23 +407,18 @@
     CHECK(change.before.held.size() == 2);
 }
 
-namespace {
-
-/** \brief Eras that the store has told and tells, and what comes of a watch from revision 5. */
-struct EraCase
-{
-    std::string first;
-    std::string next; //!< With revision 9.
-    PlatformResult list;
-    PlatformResult watch;
-};
-
-} // namespace
-
 // Guards against a revision of one era that is taken for that of another: changes would be missed,
 // or those of before the return of the store applied again.
 TEST_CASE("revisions of another era are not comparable", "[StoreClient]")
 {
+    /** Eras that the store has told and tells, and what comes of a watch from revision 5. */
+    struct EraCase
+    {
+        std::string first;
+        std::string next; //!< With revision 9.
+        PlatformResult list;
+        PlatformResult watch;
+    };
     const auto each = GENERATE(values<EraCase>({
         {"", "", PlatformResult::Ok, PlatformResult::Ok},
         {"1", "1", PlatformResult::Ok, PlatformResult::Ok},
@@ -436,44 +448,10 @@
     ScriptedStore store(R"({"items":[],"has_more":false,"as_of":5})");
     store.headers = {{platform::storeEraHeader, "2"}};
     REQUIRE(store.list(ViewKind::Members).result == PlatformResult::Ok);
-    const auto result = await<PlatformResult>(store.context, [&](auto handler) {
-        store.client.removeMember("a-1", {1, 4}, std::move(handler));
-    });
-    CHECK(result == PlatformResult::Conflict);
+    CHECK(store.removeMember("a-1", {1, 4}) == PlatformResult::Conflict);
     CHECK(store.counters.value("store_write") == 0);
 }
 
-namespace {
-
-/** \brief A store that lists one object a page, and expects the decoded name of the last one. */
-struct PagedStore
-{
-    explicit PagedStore(std::vector<std::string> objects)
-        : objects(std::move(objects))
-    {
-        this->server.route("GET", "/-/objects/*", [this](const HttpRequestView &request) {
-            this->after.push_back(request.parameter("after"));
-            const std::size_t page = this->after.size() - 1;
-            const bool hasMore = page + 1 < this->objects.size();
-            return HttpReply{200,
-                             R"({"items":[)" + this->objects.at(page) + R"(],"has_more":)"
-                                 + (hasMore ? "true" : "false") + R"(,"as_of":9})",
-                             "application/json",
-                             {}};
-        });
-    }
-
-    std::vector<std::string> objects;
-    std::vector<std::optional<std::string>> after;
-    asio::io_context context;
-    HttpServer server{context, Endpoint{0x7f000001, 0}};
-    Endpoint endpoint{startServer(server)};
-    Counters counters;
-    platform::StoreClient client{context, endpoint, counters};
-};
-
-} // namespace
-
 // Guards against a name that garbles the request for the next page, so that the list never ends.
 TEST_CASE("a list continues after any name", "[StoreClient]")
 {
@@ -482,10 +460,9 @@
     const std::string odd = R"({"meta":{"name":")" + name + R"(","revision":4},"spec":7})";
     const std::string good = R"({"meta":{"name":"i-1","revision":5},"spec":)" + goodUpstream + "}";
     CAPTURE(odd);
-    PagedStore store({odd, good});
-    const ViewList list = await<ViewList>(store.context, [&](auto handler) {
-        store.client.list(ViewKind::Upstreams, std::move(handler));
-    });
+    ScriptedStore store(R"({"items":[)" + odd + R"(],"has_more":true,"as_of":9})");
+    store.nextBody = R"({"items":[)" + good + R"(],"has_more":false,"as_of":9})";
+    const ViewList list = store.list(ViewKind::Upstreams);
     CHECK(list.result == PlatformResult::Ok);
     REQUIRE(list.objects.size() == 2);
     CHECK(std::holds_alternative<balance::UpstreamEntry>(list.objects[1].value));
@@ -496,19 +473,8 @@
 // Guards against a name that makes the removal of a lost instance that of another object.
 TEST_CASE("a member's name stays one part of the path", "[StoreClient]")
 {
-    asio::io_context context;
-    HttpServer server(context, Endpoint{0x7f000001, 0});
-    std::vector<std::string> targets;
-    server.route("DELETE", "/-/objects/*", [&](const HttpRequestView &request) {
-        targets.push_back(request.path);
-        return HttpReply{200, "{}", "application/json", {}};
-    });
-    Counters counters;
-    platform::StoreClient client(context, startServer(server), counters);
     const auto name = GENERATE(as<std::string>(), "../config/main", "a?revision=1", "a b");
-    const auto result = await<PlatformResult>(context, [&](auto handler) {
-        client.removeMember(name, {0, 5}, std::move(handler));
-    });
-    CHECK(result == PlatformResult::Ok);
-    CHECK(targets == std::vector<std::string>{"/-/objects/instances/" + name});
+    ScriptedStore store("{}");
+    CHECK(store.removeMember(name, {0, 5}) == PlatformResult::Ok);
+    CHECK(store.removed == std::vector<std::string>{"/-/objects/instances/" + name});
 }
