Shorten the tables of the view's age

Durations are written as literals, the hasty attempts as a row, and the refused instances are chosen from one sorted list.

--- a/tests/ViewFreshness.cpp
+++ b/tests/ViewFreshness.cpp
@@ -7,17 +7,16 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
-#include <map>
 #include <random>
-#include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 using namespace bulrushgap;
 using namespace bulrushgap::balance;
 using simulation::LargeDeployment;
+using namespace std::chrono_literals;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
@@ -31,35 +30,35 @@
 };
 
 const std::vector<SizeCase> sizeCases{
-    {1, 6, milliseconds(2'800), milliseconds(3'000)},
-    {2, 9, milliseconds(2'800), milliseconds(3'000)},
-    {3, 20, milliseconds(2'800), milliseconds(3'500)},
-    {3, 34, milliseconds(3'800), milliseconds(4'000)},
-    {1, 59, milliseconds(3'800), milliseconds(4'000)},
-    {2, 100, milliseconds(4'000), milliseconds(4'000)},
+    {1, 6, 2'800ms, 3'000ms},  {2, 9, 2'800ms, 3'000ms},  {3, 20, 2'800ms, 3'500ms},
+    {3, 34, 3'800ms, 4'000ms}, {1, 59, 3'800ms, 4'000ms}, {2, 100, 4'000ms, 4'000ms},
 };
 
+/** \brief Lets the store turn away the instances that its faults concern. */
+void refuseCalls(LargeDeployment &deployment)
+{
+    deployment.surroundings.storeFaults.mode = simulation::StoreMode::TooMany;
+    deployment.surroundings.store.cutWatches();
+}
+
 /** \brief Lets the store turn away a third of the instances: with seed 0 the first ranks of each
  * domain, else any. */
 void refuseThird(LargeDeployment &deployment, const SizeCase &size, unsigned seed)
 {
     constexpr unsigned refusedOneIn = 3;
-    simulation::StoreFaults &faults = deployment.surroundings.storeFaults;
-    std::map<std::string, std::vector<Member>> domains;
+    std::vector<Member> members;
     for (std::size_t index = 0; index < deployment.size(); ++index)
-        domains[deployment.at(index).member().domain].push_back(deployment.at(index).member());
+        members.push_back(deployment.at(index).member());
+    std::ranges::sort(members, {}, [](const Member &member) {
+        return std::tuple(member.domain, -static_cast<std::int64_t>(member.capacity), member.name);
+    });
     std::mt19937 random(seed);
-    for (auto &[domain, members] : domains) {
-        std::ranges::sort(members, {}, [](const Member &member) {
-            return std::pair(-static_cast<std::int64_t>(member.capacity), member.name);
-        });
-        for (std::size_t rank = 0; rank < members.size(); ++rank) {
-            if (seed == 0 ? rank < size.instances / refusedOneIn : random() % refusedOneIn == 0)
-                faults.only.insert(members[rank].name);
-        }
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const std::size_t rank = i % size.instances;
+        if (seed == 0 ? rank < size.instances / refusedOneIn : random() % refusedOneIn == 0)
+            deployment.surroundings.storeFaults.only.insert(members[i].name);
     }
-    faults.mode = simulation::StoreMode::TooMany;
-    deployment.surroundings.store.cutWatches();
+    refuseCalls(deployment);
 }
 
 struct OldestViews
@@ -71,13 +70,13 @@
 OldestViews oldestDuring(LargeDeployment &deployment, Duration length)
 {
     OldestViews oldest;
-    for (Duration passed{}; passed < length; passed += milliseconds(20)) {
-        deployment.run(milliseconds(20));
+    for (Duration passed{}; passed < length; passed += 20ms) {
+        deployment.run(20ms);
         for (std::size_t index = 0; index < deployment.size(); ++index) {
             auto &instance = deployment.at(index);
-            const bool refused
-                = deployment.surroundings.storeFaults.only.contains(instance.member().name);
-            Duration &age = refused ? oldest.refused : oldest.served;
+            const auto &refused = deployment.surroundings.storeFaults.only;
+            Duration &age
+                = refused.contains(instance.member().name) ? oldest.refused : oldest.served;
             age = std::max(age, instance.mirror()->freshness().age);
         }
     }
@@ -96,10 +95,10 @@
     INFO(size.domains << " domains of " << size.instances << ", seed " << seed);
     LargeDeployment deployment(size.domains, size.instances);
     deployment.settle();
-    CHECK(oldestDuring(deployment, seconds(5)).served < size.servedBound);
+    CHECK(oldestDuring(deployment, 5s).served < size.servedBound);
     CHECK(deployment.calls("view_stale") == 0);
     refuseThird(deployment, size, seed);
-    const OldestViews oldest = oldestDuring(deployment, seconds(9));
+    const OldestViews oldest = oldestDuring(deployment, 9s);
     CHECK(toMilliseconds(oldest.served) < size.servedBound.count());
     CHECK(toMilliseconds(oldest.refused) < size.refusedBound.count());
 }
@@ -112,15 +111,14 @@
     INFO(size.domains << " domains of " << size.instances);
     LargeDeployment deployment(size.domains, size.instances);
     deployment.settle();
-    deployment.surroundings.storeFaults.mode = simulation::StoreMode::TooMany;
-    deployment.surroundings.store.cutWatches();
+    refuseCalls(deployment);
     deployment.resetCounts();
-    deployment.run(seconds(10));
+    deployment.run(10s);
     constexpr unsigned callsPerInstance = 15;
     CHECK(deployment.storeCalls() < callsPerInstance * deployment.size());
     deployment.surroundings.storeFaults.mode = simulation::StoreMode::Serving;
     deployment.configure(2);
-    CHECK(deployment.runUntilVersion(2) <= seconds(3));
+    CHECK(deployment.runUntilVersion(2) <= 3s);
 }
 
 // Guards against limits that let a whole level call the store at once, or a reader before its
@@ -133,12 +131,11 @@
         milliseconds least;
         milliseconds most;
     };
-    const LimitCase limit = GENERATE(LimitCase{0, milliseconds(1'200), milliseconds(1'500)},
-                                     LimitCase{1, milliseconds(1'700), milliseconds(2'000)},
-                                     LimitCase{4, milliseconds(1'900), milliseconds(2'300)},
-                                     LimitCase{20, milliseconds(2'400), milliseconds(2'700)},
-                                     LimitCase{84, milliseconds(2'800), milliseconds(3'300)},
-                                     LimitCase{10'000, milliseconds(3'500), milliseconds(3'900)});
+    const std::vector<LimitCase> limits{
+        {0, 1'200ms, 1'500ms},  {1, 1'700ms, 2'000ms},  {4, 1'900ms, 2'300ms},
+        {20, 2'400ms, 2'700ms}, {84, 2'800ms, 3'300ms}, {10'000, 3'500ms, 3'900ms},
+    };
+    const LimitCase limit = GENERATE_COPY(from_range(limits));
     INFO("rank " << limit.rank);
     const Duration age = FreshnessDeadline::limitOf(limit.rank, ViewSources::maxChildren);
     CHECK(age >= limit.least);
@@ -150,25 +147,23 @@
 // view, and against a pause that is kept after one had.
 TEST_CASE("each passed deadline delays the next one until a view is current", "[ViewFreshness]")
 {
-    constexpr Duration limit = seconds(2);
-    TimePoint now{seconds(100)};
+    constexpr Duration limit = 2s;
+    TimePoint now{100s};
     FreshnessDeadline deadline;
-    CHECK(deadline.remaining(milliseconds(1'500), limit, now) == milliseconds(500));
+    CHECK(deadline.remaining(1'500ms, limit, now) == 500ms);
     CHECK_FALSE(deadline.takeHastyAttempt());
     bool first = true;
     for (const int delay : {500, 1'000, 2'000, 4'000, 8'000, 8'000}) {
         INFO("delay " << delay);
-        CHECK(deadline.remaining(seconds(9), limit, now) <= Duration::zero());
+        CHECK(deadline.remaining(9s, limit, now) <= Duration::zero());
         CHECK(deadline.onPassed(now) == std::exchange(first, false));
-        CHECK(deadline.remaining(seconds(9), limit, now) == milliseconds(delay));
-        CHECK(deadline.takeHastyAttempt());
-        CHECK(deadline.takeHastyAttempt());
-        CHECK(deadline.takeHastyAttempt());
-        CHECK_FALSE(deadline.takeHastyAttempt());
+        CHECK(deadline.remaining(9s, limit, now) == milliseconds(delay));
+        for (const bool isLeft : {true, true, true, false})
+            CHECK(deadline.takeHastyAttempt() == isLeft);
         now += milliseconds(delay);
     }
     deadline.onFresh();
-    CHECK(deadline.remaining(seconds(1), limit, now) == seconds(1));
+    CHECK(deadline.remaining(1s, limit, now) == 1s);
     CHECK(deadline.onPassed(now));
 }
 
@@ -186,9 +181,9 @@
                                     }});
     mirror.apply(ViewKind::Upstreams, {true, 1, {}});
     std::vector<PlatformResult> results;
-    mirror.watch({ViewKind::Upstreams, 1, milliseconds(700)},
+    mirror.watch({ViewKind::Upstreams, 1, 700ms},
                  [&](const auto &events) { results.push_back(events->result); });
     serves = !losesSource;
-    loop.runFor(seconds(1));
+    loop.runFor(1s);
     CHECK(results == std::vector{losesSource ? PlatformResult::Busy : PlatformResult::Ok});
 }
