--- a/tests/MemberRegistration.cpp
+++ b/tests/MemberRegistration.cpp
@@ -27,13 +27,6 @@
     int writes = 0;
 };
 
-struct RegistrationCase
-{
-    Duration after; //!< The entry is missing this long after it was written.
-    std::uint64_t era;
-    int writes;
-};
-
 } // namespace
 
 // Guards against an instance that stays unregistered after the store has lost its entry, and
@@ -41,12 +34,13 @@
 TEST_CASE("an entry that is missing in a later era is written again at once",
           "[MemberRegistration]")
 {
-    const auto each = GENERATE(values<RegistrationCase>({
-        {1s, 4, 1},
-        {1s, 5, 2},
-        {1s, 3, 1},
-        {21s, 4, 2},
-    }));
+    struct Case
+    {
+        Duration after; //!< The entry is missing this long after it was written.
+        std::uint64_t era;
+        int writes;
+    };
+    const auto each = GENERATE(values<Case>({{1s, 4, 1}, {1s, 5, 2}, {1s, 3, 1}, {21s, 4, 2}}));
     simulation::EventLoop loop;
     const Scheduler scheduler = loop.scheduler();
     CountingStore store;
