--- a/tests/UpstreamDirectory.cpp
+++ b/tests/UpstreamDirectory.cpp
@@ -171,20 +171,6 @@
     CHECK(directory.size() == 1);
 }
 
-namespace {
-
-/** \brief What an instance knows of an upstream, and what a copy lists of it. */
-struct CopyCase
-{
-    UpstreamState known;
-    bool left; //!< Its entry was removed.
-    std::optional<RegistryEntry> copy;
-    bool eligible;      //!< Right after the copy was read.
-    bool eligibleLater; //!< After the grace period.
-};
-
-} // namespace
-
 // Guards against new flows to an upstream that drains or has left, since the store returned from a
 // copy of before; and against an upstream that is lost with the copy, or stays out for good.
 TEST_CASE("a copy of the registry revives no upstream at once", "[UpstreamDirectory]")
@@ -193,7 +179,15 @@
     constexpr auto draining = UpstreamState::Draining;
     const RegistryEntry copied = entry("a-1", 3);
     const RegistryEntry restarted = entry("a-1", 3, ready, "10.0.0.1:80", 2);
-    const auto each = GENERATE_COPY(values<CopyCase>({
+    struct Case
+    {
+        UpstreamState known;
+        bool left; //!< Its entry was removed.
+        std::optional<RegistryEntry> copy;
+        bool eligible;      //!< Right after the copy was read.
+        bool eligibleLater; //!< After the grace period.
+    };
+    const auto each = GENERATE_COPY(values<Case>({
         {ready, false, copied, true, true},
         {ready, false, std::nullopt, true, false},
         {draining, false, copied, false, true},
