--- a/tests/ViewFollower.cpp
+++ b/tests/ViewFollower.cpp
@@ -303,24 +303,18 @@
     CHECK(view.directory.isEvacuated("b") == writtenAgain);
 }
 
-namespace {
-
-/** \brief What an instance meets when it reads the registry because of an unknown flow tag. */
-struct VerificationCase
-{
-    bool failedBefore; //!< The read before had no answer.
-    std::uint64_t era;
-    bool grace; //!< Whether the registry may lack upstreams that have to register again.
-};
-
-} // namespace
-
 // Guards against the reset of flows whose upstream is missing from a registry that has just come
 // back, if this instance notices that by the read itself.
 TEST_CASE("a read of a registry that has returned starts the grace period", "[ViewFollower]")
 {
-    const auto each = GENERATE(
-        values<VerificationCase>({{false, 0, false}, {true, 0, true}, {false, 1, true}}));
+    struct Case
+    {
+        bool failedBefore; //!< The read before had no answer.
+        std::uint64_t era;
+        bool grace; //!< Whether the registry may lack upstreams that have to register again.
+    };
+    const auto each
+        = GENERATE(values<Case>({{false, 0, false}, {true, 0, true}, {false, 1, true}}));
     ViewFixture view;
     view.start();
     ViewList &list = view.source.lists[ViewKind::Upstreams];
