--- a/tests/PacketSteering.cpp
+++ b/tests/PacketSteering.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -48,8 +49,16 @@
 /** \brief One instance in domain "a" with upstreams in two domains, in virtual time. */
 class SteeringFixture
 {
+    struct Probe
+    {
+        UpstreamIndex upstream;
+        int startedAt;
+        bool isReference;
+    };
+
 public:
-    SteeringFixture()
+    /** \param upstreams Names that begin with the letter of their domain. */
+    explicit SteeringFixture(std::initializer_list<std::string> upstreams = {})
         : steering({"a", 1'000}, this->directory, this->routes, this->random, this->hooks())
     {
         Configuration configuration;
@@ -57,6 +66,8 @@
         configuration.routes = {{"feed", route, {{"s1", 1}}, RequestKind::Idempotent},
                                 {"booking", bookingRoute, {{"s1", 1}}, RequestKind::RunAtMostOnce}};
         this->routes.update(std::make_shared<const Configuration>(configuration), at(0));
+        for (const std::string &name : upstreams)
+            this->addUpstream(name, name.substr(0, 1));
     }
 
     void addUpstream(const std::string &name, const std::string &domain,
@@ -79,15 +90,20 @@
         for (; this->now < ms; this->now += 5) {
             this->steering.tick(at(this->now));
             for (std::size_t i = 0; i < this->probes.size(); ++i) {
-                const auto [upstream, started] = this->probes[i];
+                const auto [upstream, started, isReference] = this->probes[i];
                 const auto found = results.find(upstream);
-                const ProbeResult result
+                ProbeResult result
                     = found == results.end() ? ProbeResult::Connected : found->second;
+                if (this->link && !this->link(started))
+                    result = ProbeResult::TimedOut;
                 const int duration = result == ProbeResult::TimedOut ? 110 : 1;
                 if (this->now - started < duration)
                     continue;
                 this->probes.erase(this->probes.begin() + static_cast<std::ptrdiff_t>(i--));
-                this->steering.onProbeResult(upstream, result, at(started), at(this->now));
+                if (isReference)
+                    this->steering.onReferenceResult(upstream, result, at(started), at(this->now));
+                else
+                    this->steering.onProbeResult(upstream, result, at(started), at(this->now));
             }
         }
     }
@@ -111,10 +127,12 @@
     UpstreamDirectory directory{{}};
     RouteTable routes;
     Random random{1};
-    std::vector<std::pair<UpstreamIndex, int>> probes;
+    std::vector<Probe> probes;
     std::vector<Endpoint> resets;
     unsigned verifications = 0;
     unsigned referenceProbes = 0;
+    /** Whether a probe that starts at this time is answered; references then take as long. */
+    std::function<bool(int ms)> link;
     bool referenceReached = true;
     std::set<std::string> refusingDomains; //!< Reference probes to their upstreams are refused.
     std::string refusingService;           //!< Only upstreams of this service refuse, if set.
@@ -127,10 +145,14 @@
     {
         SteeringHooks result;
         result.startProbe = [this](UpstreamIndex upstream) {
-            this->probes.emplace_back(upstream, this->now);
+            this->probes.push_back({upstream, this->now, false});
         };
         result.startReferenceProbe = [this](UpstreamIndex upstream) {
             ++this->referenceProbes;
+            if (this->link) {
+                this->probes.push_back({upstream, this->now, true});
+                return;
+            }
             const UpstreamEntry &entry = this->directory.at(upstream).entry;
             const bool refused
                 = this->refusingDomains.contains(entry.domain)
@@ -161,6 +183,10 @@
     return {0x64400000U + address, port};
 }
 
+/** Results of a link that loses the probes of both upstreams. */
+const std::map<UpstreamIndex, ProbeResult> bothLost{{0, ProbeResult::TimedOut},
+                                                    {1, ProbeResult::TimedOut}};
+
 using Action = SteeringDecision::Action;
 
 } // namespace
@@ -340,46 +366,31 @@
 // before.
 TEST_CASE("refused probes prove nothing while the domain answers", "[PacketSteering]")
 {
-    struct Neighbour
-    {
-        std::string domain;
-        std::string service = "s1";
-    };
     struct Case
     {
         const char *what;
-        std::vector<Neighbour> neighbours;
-        std::set<std::string> refusing; //!< Domains whose other upstreams refuse as well.
+        std::vector<std::string> neighbours; //!< Domains of the other upstreams, and "2" for s2.
+        std::set<std::string> refusing;      //!< Domains whose other upstreams refuse as well.
         std::string domain;
         std::size_t resets;
         std::string refusingService = {}; //!< Only its upstreams refuse.
     };
     const auto test = GENERATE(values<Case>({
-        {"overloaded, a neighbour is reached", {{"b"}, {"b"}, {"a"}}, {}, "b", 0},
-        {"overloaded, in the own domain", {{"a"}, {"b"}}, {}, "a", 0},
-        {"all upstreams of the domain refuse", {{"b"}, {"b"}, {"a"}}, {"b"}, "b", 1},
-        {"all upstreams of the own domain refuse", {{"a"}, {"b"}}, {"a"}, "a", 1},
-        {"no other upstream in the domain", {{"a"}, {"a"}}, {}, "b", 1},
-        {"a burst overloads one service of the domain",
-         {{"b"}, {"b"}, {"b"}, {"b"}, {"b", "s2"}, {"a"}},
-         {"b"},
-         "b",
-         0,
-         "s1"},
-        {"a burst overloads one service of the own domain",
-         {{"a"}, {"a"}, {"a"}, {"a", "s2"}, {"b"}},
-         {"a"},
-         "a",
-         0,
-         "s1"},
-        {"both services of the domain refuse", {{"b"}, {"b"}, {"b", "s2"}, {"a"}}, {"b"}, "b", 1},
+        {"overloaded, a neighbour is reached", {"b", "b", "a"}, {}, "b", 0},
+        {"overloaded, in the own domain", {"a", "b"}, {}, "a", 0},
+        {"all upstreams of the domain refuse", {"b", "b", "a"}, {"b"}, "b", 1},
+        {"all upstreams of the own domain refuse", {"a", "b"}, {"a"}, "a", 1},
+        {"no other upstream in the domain", {"a", "a"}, {}, "b", 1},
+        {"a burst on one service", {"b", "b", "b", "b", "b2", "a"}, {"b"}, "b", 0, "s1"},
+        {"a burst on one of the own domain", {"a", "a", "a", "a2", "b"}, {"a"}, "a", 0, "s1"},
+        {"both services of the domain refuse", {"b", "b", "b2", "a"}, {"b"}, "b", 1},
     }));
     INFO(test.what);
     SteeringFixture fixture;
     fixture.addUpstream("subject", test.domain);
     for (std::size_t i = 0; i < test.neighbours.size(); ++i)
-        fixture.addUpstream("neighbour-" + std::to_string(i), test.neighbours[i].domain,
-                            test.neighbours[i].service);
+        fixture.addUpstream("neighbour-" + std::to_string(i), test.neighbours[i].substr(0, 1),
+                            test.neighbours[i].ends_with('2') ? "s2" : "s1");
     fixture.refusingDomains = test.refusing;
     fixture.refusingService = test.refusingService;
     const std::uint32_t tag = fixture.tagOf(0);
@@ -497,16 +508,12 @@
         {"the instance is cut off", 2'500, true},
     }));
     INFO(test.what);
-    SteeringFixture fixture;
-    fixture.addUpstream("a-1", "a");
-    fixture.addUpstream("b-1", "b");
+    SteeringFixture fixture({"a-1", "b-1"});
     fixture.referenceReached = false;
-    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut},
-                                                    {1, ProbeResult::TimedOut}};
     const std::uint32_t tag = fixture.tagOf(0);
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 5));
-    fixture.runUntil(test.lostMs, lost);
+    fixture.runUntil(test.lostMs, bothLost);
     const auto during = fixture.decide(syn(caller(2)), test.lostMs);
     CHECK((during.reason == SteeringReason::AllUnreachable) == test.refused);
     fixture.referenceReached = true;
@@ -633,9 +640,7 @@
         {"the congestion ends before the first probe times out", 100},
     }));
     INFO(test.what);
-    SteeringFixture fixture;
-    for (const char *name : {"a-1", "a-2", "a-3"})
-        fixture.addUpstream(name, "a");
+    SteeringFixture fixture({"a-1", "a-2", "a-3"});
     const std::uint32_t first = fixture.tagOf(0);
     const std::uint32_t second = fixture.tagOf(1);
     static_cast<void>(fixture.decide(data(caller(1), first, 100, 500, 0), 0));
@@ -653,10 +658,8 @@
     fixture.referenceReached = true;
     static_cast<void>(fixture.decide(data(caller(2), second, 100, 500, 50), fixture.now));
     // Only the two probes that started in the congestion are lost.
-    for (; fixture.now < 1'400 && fixture.resets.empty();) {
-        const bool isOver = fixture.now >= 1'170;
-        fixture.runUntil(fixture.now + 5, isOver ? std::map<UpstreamIndex, ProbeResult>{} : lost);
-    }
+    fixture.runUntil(1'170, lost);
+    fixture.runUntil(1'400, {});
     CHECK(fixture.resets.empty());
 }
 
@@ -674,17 +677,13 @@
         {"no upstream takes new flows", false, true},
     }));
     INFO(test.what);
-    SteeringFixture fixture;
-    fixture.addUpstream("a-1", "a");
-    fixture.addUpstream("b-1", "b");
-    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut},
-                                                    {1, ProbeResult::TimedOut}};
+    SteeringFixture fixture({"a-1", "b-1"});
     const std::uint32_t tag = fixture.tagOf(0);
     fixture.referenceReached = !test.isolated;
     if (test.isolated) {
         static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
         static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 5));
-        fixture.runUntil(2'500, lost);
+        fixture.runUntil(2'500, bothLost);
     }
     fixture.directory.setEvacuated("a", test.evacuated);
     fixture.directory.setEvacuated("b", test.evacuated);
@@ -696,18 +695,14 @@
 // Guards against an instance that is cut off and resets flows by a verdict that it can't renew.
 TEST_CASE("an instance that reaches no upstream resets no flow", "[PacketSteering]")
 {
-    SteeringFixture fixture;
-    fixture.addUpstream("a-1", "a");
-    fixture.addUpstream("a-2", "a");
+    SteeringFixture fixture({"a-1", "a-2"});
     const std::uint32_t tag = fixture.tagOf(0);
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 0), 0));
     static_cast<void>(fixture.decide(data(caller(1), tag, 100, 500, 50), 5));
-    const std::map<UpstreamIndex, ProbeResult> lost{{0, ProbeResult::TimedOut},
-                                                    {1, ProbeResult::TimedOut}};
-    fixture.runUntil(1'000, lost);
+    fixture.runUntil(1'000, bothLost);
     CHECK(fixture.resets.size() == 1);
     fixture.referenceReached = false;
-    fixture.runUntil(6'000, lost);
+    fixture.runUntil(6'000, bothLost);
     REQUIRE(fixture.steering.failureDetector().reachesNoUpstream(at(6'000)));
     const auto decision = fixture.decide(data(caller(2), tag, 100, 500, 50), 6'000);
     CHECK(decision.action != Action::Reset);
@@ -717,8 +712,7 @@
 // shortly after an outage of the registry in which the entries of live upstreams expired.
 TEST_CASE("a registry read within the grace period proves no upstream gone", "[PacketSteering]")
 {
-    SteeringFixture fixture;
-    fixture.addUpstream("a-1", "a");
+    SteeringFixture fixture({"a-1"});
     fixture.directory.registryRecovered(at(0));
     const FlowPacket packet = data(caller(1), 0x1234'5678, 100, 500, 50);
     CHECK(fixture.decide(packet, 100).reason == SteeringReason::AwaitingView);
@@ -727,3 +721,41 @@
     fixture.steering.registryVerified(at(2'300));
     CHECK(fixture.decide(packet, 2'400).reason == SteeringReason::UnknownUpstream);
 }
+
+// Guards against resets of flows whose upstream works: a view update congests the link of an
+// instance that is idle, so that it has no answer from anyone for a while.
+TEST_CASE("an idle instance with a congested link resets no open flow", "[PacketSteering]")
+{
+    constexpr int requestAt = 10'000;
+    struct Case
+    {
+        const char *what;
+        int from; //!< The congestion, in ms after the request.
+        int until;
+        bool upstreamDown;
+    };
+    const auto test = GENERATE(values<Case>({
+        {"congested for a short time", 0, 300, false},
+        {"congested for longer than a probe interval", 0, 900, false},
+        {"congested from the first probe on", 110, 800, false},
+        {"congested for seconds", -500, 3'000, false},
+        {"the upstream is down, the link is free", 0, 0, true},
+    }));
+    INFO(test.what);
+    SteeringFixture fixture({"a-0", "b-1", "c-2", "a-3", "b-4", "c-5", "a-6", "b-7", "c-8"});
+    fixture.link = [&](int ms) {
+        return ms < requestAt + test.from || ms >= requestAt + test.until;
+    };
+    FlowPacket packet = data(caller(1), fixture.tagOf(0), 100, 500, 0);
+    static_cast<void>(fixture.decide(packet, 0));
+    packet.dataBytes = 50;
+    fixture.now = requestAt;
+    std::size_t resets = 0;
+    for (const int end : {200, 600, 5'000}) {
+        const auto decision = fixture.decide(packet, fixture.now);
+        resets += decision.action == Action::Reset ? 1 : 0;
+        fixture.runUntil(requestAt + end,
+                         {{0, test.upstreamDown ? ProbeResult::TimedOut : ProbeResult::Connected}});
+    }
+    CHECK((resets + fixture.resets.size() > 0) == test.upstreamDown);
+}
