--- a/tests/SimulatedPlatform.cpp
+++ b/tests/SimulatedPlatform.cpp
@@ -188,6 +188,46 @@
     CHECK(used == each.used);
 }
 
+// Guards against messages that skip a link on their way, and probes that do not wait behind others.
+TEST_CASE("Messages and probes wait for the links of both ends", "[SimulatedPlatform]")
+{
+    struct Case
+    {
+        std::set<std::string> limited; //!< To 8 Mbit/s, a byte in a microsecond.
+        std::string messageTo;         //!< Gets 50,000 bytes from "near" before the probe.
+        Duration message;              //!< Least time until the message is there.
+        Duration probe;                //!< Least time of a probe from "near" to "far".
+    };
+    const auto each = GENERATE(values<Case>({
+        {{}, "far", 0ms, 1ms},
+        {{"near"}, "far", 50ms, 51ms},
+        {{"far"}, "far", 50ms, 50ms}, // The message reaches the other end first.
+        {{"near", "far"}, "far", 100ms, 100ms},
+        {{"near"}, "third", 50ms, 51ms},
+        {{"far", "third"}, "third", 50ms, 1ms},
+    }));
+    constexpr Duration tolerance = 2ms;
+    Surroundings surroundings(1, {}, 20s);
+    for (const std::string &name : each.limited)
+        surroundings.transport.limit(name, {8});
+    const auto place = [](const std::string &name) {
+        return Place{Place::Role::Instance, "domain", name};
+    };
+    const TimePoint start = surroundings.loop.now();
+    Duration message{};
+    Duration probe{};
+    surroundings.transport.send(place("near"), place(each.messageTo),
+                                {Transmission::Kind::Stream, 50'000},
+                                [&] { message = surroundings.loop.now() - start; });
+    surroundings.transport.probe(place("near"), place("far"),
+                                 [&] { probe = surroundings.loop.now() - start; });
+    surroundings.loop.runFor(1s);
+    CHECK(message >= each.message);
+    CHECK(message < each.message + tolerance);
+    CHECK(probe >= each.probe);
+    CHECK(probe < each.probe + tolerance);
+}
+
 // Guards against events that run out of order, or after their timer was dropped.
 TEST_CASE("Virtual time runs events in order", "[SimulatedPlatform]")
 {
