--- a/review/8/case.py
+++ b/review/8/case.py
@@ -84,4 +84,4 @@
     return most > limit
 
 
-run(case, None)
+run(case)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -11,6 +11,7 @@
 import os
 import random
 import re
+import shutil
 import signal
 import socket
 import struct
@@ -670,16 +671,19 @@
     def end(self):
         for balancer in self.balancers:
             balancer.end()
-        self.record.file.flush()
+        self.record.file.close()
+        shutil.rmtree(self.directory, ignore_errors=True)
 
 
-def run(case, record_path):
+def run(case):
     """Runs a case. Exit status: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     if not os.access(BINARY, os.X_OK):
         print("target/bulrushgap is missing: build it as the deploy file says")
         sys.exit(2)
     deployments = []
+    # A time-out of the caller ends the processes too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def guarded():
         return await asyncio.wait_for(case(trouble, deployments.append), 110)
