--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -96,6 +96,7 @@
         self.writers = set()
         self.changed = asyncio.Event()
         self.mute = {}  # kind -> watches of it hear nothing while set
+        self.on_watch = None  # Called with the kind when a watch arrives.
 
     # -- the store's own state ------------------------------------------------------------------
 
@@ -182,7 +183,7 @@
                 body = json.loads(await reader.readexactly(length)) if length else None
                 status, answer = await self._call(method, target, body)
                 await asyncio.sleep(0.004)  # An answer takes 4 ms.
-                data = json.dumps(answer).encode()
+                data = json.dumps(answer, separators=(",", ":")).encode()
                 writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
                               f"Store-Era: {self.era}\r\nContent-Length: {len(data)}\r\n\r\n")
                              .encode() + data)
@@ -226,6 +227,8 @@
         return 200, stored
 
     async def _watch(self, kind, since, wait_ms):
+        if self.on_watch:
+            self.on_watch(kind)
         if since < self.oldest or since > self.revision:
             return 410, {}
         end = time.monotonic() + wait_ms / 1000
@@ -524,6 +527,8 @@
         self.ready = False
         self.misses = 0
         self.first_start = first_start
+        self.store = f"{STORE_ADDRESS}:{deployment.store.port}"
+        self.link_mbps = 1000.0
 
     def settings(self):
         port = self.deployment.port
@@ -532,10 +537,10 @@
                 "readyAddress": f"{self.address}:{port + 1}",
                 "peerAddress": f"{self.address}:{port + 2}",
                 "seeds": [f"{each.address}:{port + 2}" for each in self.deployment.balancers[:3]],
-                "linkMbps": 1000.0, "firstStart": self.first_start,
+                "linkMbps": self.link_mbps, "firstStart": self.first_start,
                 "requirements": ["base", "drain", "config", "cost", "recover", "flows", "places",
                                  "platform"],
-                "store": f"{STORE_ADDRESS}:{self.deployment.store.port}"}
+                "store": self.store}
 
     def start(self):
         path = os.path.join(self.deployment.directory, f"{self.name}.json")
@@ -682,18 +687,21 @@
         print("target/bulrushgap is missing: build it as the deploy file says")
         sys.exit(2)
     deployments = []
-    # A time-out of the caller ends the processes too.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
-    async def guarded():
-        return await asyncio.wait_for(case(trouble, deployments.append), 110)
-
-    try:
-        broken = asyncio.run(guarded())
-    except Exception as error:  # pylint: disable=broad-except
-        print(f"could not run: {type(error).__name__}: {error}")
-        broken = None
-    finally:
+    def leave(status):
+        """Ends at once: no task may delay it, and no process is left behind."""
         for deployment in deployments:
             deployment.end()
-    sys.exit(2 if broken is None else int(broken))
+        sys.stdout.flush()
+        os._exit(status)
+
+    async def guarded():
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, leave, 2)
+        try:
+            broken = await asyncio.wait_for(case(trouble, deployments.append), 110)
+        except Exception as error:  # pylint: disable=broad-except
+            print(f"could not run: {type(error).__name__}: {error}")
+            leave(2)
+        leave(int(broken))
+
+    asyncio.run(guarded())
