--- a/src/role/PeerViewClient.cpp
+++ b/src/role/PeerViewClient.cpp
@@ -19,6 +19,7 @@
 namespace internal {
 
 using std::chrono::milliseconds;
+using Clock = std::chrono::steady_clock;
 
 /** Below the idle timeout, so that a refusal arrives before the connection is abandoned. */
 constexpr milliseconds listWait{400};
@@ -33,19 +34,21 @@
     {
         ReplyHandler onReply;
         bool isWatch = false;
-        std::chrono::steady_clock::time_point deadline;
-        milliseconds idleTimeout{
-            0}; //!< Received bytes extend the deadline by this; 0: they do not.
+        bool isList = false; //!< Any received bytes extend its deadline.
+        Clock::time_point deadline;
     };
 
-    explicit PeerViewConnection(boost::asio::io_context &context)
+    PeerViewConnection(boost::asio::io_context &context, Counters &counters,
+                       milliseconds idleTimeout)
         : socket(context)
         , timer(context)
+        , counters(counters)
+        , idleTimeout(idleTimeout)
     {}
 
     void open(Endpoint peer, milliseconds timeout)
     {
-        this->armTimer(std::chrono::steady_clock::now() + timeout);
+        this->armTimer(Clock::now() + timeout);
         this->socket.async_connect(
             {boost::asio::ip::address_v4(peer.address), peer.port},
             [self = this->shared_from_this()](boost::system::error_code error) {
@@ -67,7 +70,7 @@
         const std::uint32_t requestId = ++this->lastRequestId;
         const Bytes frame = ViewFrame{requestId, {}, message}.toBytes();
         this->output.insert(this->output.end(), frame.begin(), frame.end());
-        call.deadline = std::chrono::steady_clock::now() + timeout;
+        call.deadline = Clock::now() + timeout;
         this->calls.emplace(requestId, std::move(call));
         if (!this->connected)
             return;
@@ -96,6 +99,8 @@
     {
         if (this->failed)
             return;
+        if (this->reader.hasPartialMessage())
+            this->counters.add("peer_reply_broken_off");
         auto waiting = std::exchange(this->calls, {});
         this->close();
         for (auto &[requestId, call] : waiting)
@@ -136,11 +141,8 @@
 
     void onBytes(std::span<const std::byte> bytes)
     {
-        const auto now = std::chrono::steady_clock::now();
-        for (auto &[requestId, call] : this->calls) {
-            if (call.idleTimeout.count() > 0)
-                call.deadline = std::max(call.deadline, now + call.idleTimeout);
-        }
+        this->receivedAt = Clock::now();
+        const bool continued = this->reader.hasPartialMessage();
         this->reader.append(bytes);
         while (!this->failed) {
             const auto frame = this->reader.next();
@@ -150,8 +152,19 @@
         }
         if (this->reader.isLimitExceeded())
             this->fail();
-        if (!this->failed)
-            this->armCallTimer();
+        if (this->failed)
+            return;
+        this->extendDeadlines(continued || this->reader.hasPartialMessage());
+        this->armCallTimer();
+    }
+
+    /** \param all whether the bytes are those of a reply that other replies may wait for */
+    void extendDeadlines(bool all)
+    {
+        for (auto &[requestId, call] : this->calls) {
+            if (all || call.isList)
+                call.deadline = std::max(call.deadline, this->receivedAt + this->idleTimeout);
+        }
     }
 
     void onFrame(std::span<const std::byte> bytes)
@@ -171,13 +184,18 @@
             this->timer.cancel();
             return;
         }
+        // A reply that has begun has no wait left that its silence could be.
+        if (this->reader.hasPartialMessage()) {
+            this->armTimer(this->receivedAt + this->idleTimeout);
+            return;
+        }
         auto earliest = this->calls.begin()->second.deadline;
         for (const auto &[requestId, call] : this->calls)
             earliest = std::min(earliest, call.deadline);
         this->armTimer(earliest);
     }
 
-    void armTimer(std::chrono::steady_clock::time_point expiry)
+    void armTimer(Clock::time_point expiry)
     {
         this->timer.expires_at(expiry);
         this->timer.async_wait([self = this->shared_from_this()](boost::system::error_code error) {
@@ -188,6 +206,9 @@
 
     boost::asio::ip::tcp::socket socket;
     boost::asio::steady_timer timer;
+    Counters &counters;
+    milliseconds idleTimeout;
+    Clock::time_point receivedAt; //!< When bytes last arrived.
     FrameReader reader{balance::maxViewMessageBytes};
     std::array<std::byte, 16'384> input{};
     Bytes output;
@@ -226,10 +247,19 @@
         dropped->dropWatches();
 }
 
+std::optional<TimePoint> PeerViewClient::lastArrival() const
+{
+    const auto &connection = this->activeConnection;
+    if (!connection || connection->failed || !connection->reader.hasPartialMessage())
+        return std::nullopt;
+    return std::chrono::time_point_cast<Duration>(connection->receivedAt);
+}
+
 internal::PeerViewConnection &PeerViewClient::connection()
 {
     if (!this->activeConnection || this->activeConnection->failed) {
-        this->activeConnection = std::make_shared<internal::PeerViewConnection>(this->context);
+        this->activeConnection = std::make_shared<internal::PeerViewConnection>(
+            this->context, this->counters, this->timeouts.idleTimeout);
         this->activeConnection->open(this->peer, this->timeouts.connect);
     }
     return *this->activeConnection;
@@ -250,8 +280,8 @@
                                  handler(std::move(list).value_or(balance::ViewList{}));
                              },
                              false,
-                             {},
-                             this->timeouts.idleTimeout});
+                             true,
+                             {}});
 }
 
 void PeerViewClient::watchFor(balance::ViewKind kind, StoreRevision since,
@@ -269,7 +299,7 @@
                                  handler(std::move(events).value_or(balance::ViewEvents{}));
                              },
                              true,
-                             {},
+                             false,
                              {}});
 }
 
@@ -286,7 +316,7 @@
                                  handler(reports);
                              },
                              false,
-                             {},
+                             false,
                              {}});
 }
 
--- a/src/role/PeerViewClient.h
+++ b/src/role/PeerViewClient.h
@@ -10,14 +10,18 @@
 
 #include <chrono>
 #include <memory>
+#include <optional>
 
 namespace bulrushgap {
 
 struct PeerViewTimeouts
 {
     std::chrono::milliseconds connect{250};
-    std::chrono::milliseconds idleTimeout{700}; //!< Without received bytes while a list is pending.
-    std::chrono::milliseconds watchMargin{300}; //!< Time past its wait after which a watch fails.
+    /** Without received bytes while a list is pending or a reply is incomplete. */
+    std::chrono::milliseconds idleTimeout{700};
+
+    /** Time past its wait after which a watch fails, unless a reply is arriving. */
+    std::chrono::milliseconds watchMargin{300};
 };
 
 /** \brief What is required of the other instance. */
@@ -37,7 +41,11 @@
 /** \brief Reads another instance's view over one TCP connection with FlatBuffers messages.
  *
  * If the connection fails or a call times out, all pending calls fail, and the next call opens a
- * new connection. Calls are counted as "peer_list", "peer_watch" and "peer_outcome".
+ * new connection. While a reply goes on arriving no call times out, since replies follow each other
+ * on the connection.
+ *
+ * Calls are counted as "peer_list", "peer_watch" and "peer_outcome", and failures in the middle of
+ * a reply as "peer_reply_broken_off".
  */
 class PeerViewClient : public balance::ObjectSource, public balance::OutcomeSource
 {
@@ -50,6 +58,7 @@
     void watchFor(balance::ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override;
     void dropWatches() override;
+    [[nodiscard]] std::optional<TimePoint> lastArrival() const override;
     void exchange(const balance::OutcomeRequest &request,
                   balance::OutcomeSource::Handler handler) override;
 
--- a/src/service/FrameReader.h
+++ b/src/service/FrameReader.h
@@ -26,6 +26,9 @@
     /** \returns the next complete message, or nothing if more bytes are needed. */
     [[nodiscard]] std::optional<Bytes> next();
 
+    /** \returns whether a part of the next message has been received. */
+    [[nodiscard]] bool hasPartialMessage() const { return this->consumed < this->buffer.size(); }
+
     /** \returns whether a length prefix exceeded the limit; no more messages can be read then. */
     [[nodiscard]] bool isLimitExceeded() const { return this->limitExceeded; }
 
--- a/src/service/HttpClient.cpp
+++ b/src/service/HttpClient.cpp
@@ -25,6 +25,8 @@
 using boost::system::error_code;
 using Clock = std::chrono::steady_clock;
 
+constexpr std::size_t readBytes = 16'384; //!< Received at a time.
+
 struct HttpConnection
 {
     explicit HttpConnection(asio::io_context &context)
@@ -57,6 +59,7 @@
     std::uint64_t serverNumber = 0; //!< See HttpClientState; of the server that the call is for.
     http::request<http::string_body> request;
     std::optional<http::response_parser<http::string_body>> parser;
+    std::optional<Clock::time_point> arrivedAt; //!< When bytes of the answer last arrived.
 };
 
 using PendingCallPtr = std::shared_ptr<PendingCall>;
@@ -75,6 +78,8 @@
     void connect(const PendingCallPtr &pending);
     void write(const PendingCallPtr &pending);
     void read(const PendingCallPtr &pending);
+    void readSome(const PendingCallPtr &pending);
+    void onBytes(const PendingCallPtr &pending, error_code error);
     void fail(const PendingCallPtr &pending, error_code error, HttpFailure failure);
     void complete(const PendingCallPtr &pending);
     void finish(const PendingCallPtr &pending, HttpOutcome outcome);
@@ -138,6 +143,23 @@
     socket.set_option(KeepCount(maxUnansweredProbes), ignored);
 }
 
+/** \brief Feeds received bytes to the parser; those that follow the response stay in the buffer.
+ * \returns why the response is malformed, or no error */
+error_code parse(PendingCall &pending)
+{
+    auto &buffer = pending.connection->buffer;
+    while (buffer.size() > 0 && !pending.parser->is_done()) {
+        error_code error;
+        const std::size_t used = pending.parser->put(buffer.data(), error);
+        buffer.consume(used);
+        if (error == http::error::need_more)
+            break;
+        if (error)
+            return error;
+    }
+    return {};
+}
+
 HttpConnectionPtr HttpClientState::takeIdleConnection()
 {
     while (!this->idleConnections.empty()) {
@@ -228,17 +250,42 @@
 
 void HttpClientState::read(const PendingCallPtr &pending)
 {
-    auto &connection = *pending->connection;
+    pending->arrivedAt.reset();
     pending->parser.emplace();
     pending->parser->body_limit(this->limits.bodyBytes);
-    const auto received = [this, pending](error_code error, std::size_t) {
-        if (error)
-            this->fail(pending, error, HttpFailure::NoResponse);
-        else
-            this->complete(pending);
+    pending->parser->eager(true);
+    this->readSome(pending);
+}
+
+void HttpClientState::readSome(const PendingCallPtr &pending)
+{
+    auto &connection = *pending->connection;
+    const auto received = [this, pending](error_code error, std::size_t size) {
+        pending->connection->buffer.commit(size);
+        this->onBytes(pending, error);
     };
-    http::async_read(connection.stream, connection.buffer, *pending->parser,
-                     this->whilePending(pending, received));
+    connection.stream.async_read_some(connection.buffer.prepare(readBytes),
+                                      this->whilePending(pending, received));
+}
+
+void HttpClientState::onBytes(const PendingCallPtr &pending, error_code error)
+{
+    if (!error)
+        error = parse(*pending);
+    else if (error == asio::error::eof && pending->parser->got_some())
+        pending->parser->put_eof(error);
+    if (error) {
+        this->fail(pending, error, HttpFailure::NoResponse);
+        return;
+    }
+    if (pending->parser->is_done()) {
+        this->complete(pending);
+        return;
+    }
+    pending->arrivedAt = Clock::now();
+    if (pending->call.idleTimeout)
+        pending->connection->stream.expires_at(*pending->arrivedAt + *pending->call.idleTimeout);
+    this->readSome(pending);
 }
 
 void HttpClientState::fail(const PendingCallPtr &pending, error_code error, HttpFailure failure)
@@ -248,10 +295,13 @@
     pending->connection->stream.close();
     if (error == beast::error::timeout)
         this->idleConnections.clear();
-    if (retry)
+    if (retry) {
         this->connect(pending);
-    else
-        this->finish(pending, HttpOutcome{failure, 0, {}, {}});
+        return;
+    }
+    HttpOutcome outcome{failure, 0, {}, {}};
+    outcome.brokenOff = pending->arrivedAt.has_value();
+    this->finish(pending, std::move(outcome));
 }
 
 void HttpClientState::complete(const PendingCallPtr &pending)
@@ -325,6 +375,17 @@
     this->state->active.clear();
 }
 
+std::optional<TimePoint> HttpClient::lastArrival() const
+{
+    std::optional<TimePoint> last;
+    for (const internal::PendingCallPtr &pending : this->state->active) {
+        if (pending->arrivedAt)
+            last = std::max(
+                last, std::optional(std::chrono::time_point_cast<Duration>(*pending->arrivedAt)));
+    }
+    return last;
+}
+
 void HttpClient::setServer(Endpoint server)
 {
     this->state->setServer(server);
--- a/src/service/HttpClient.h
+++ b/src/service/HttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Endpoint.h"
+#include "base/Time.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -29,6 +30,10 @@
     std::chrono::milliseconds connectTimeout{2'000};
 
     std::string answerHeader = {}; //!< Name of a header that the outcome tells; may be empty.
+
+    /** If set, \a timeout ends when the answer begins to arrive; from then on the call fails after
+     * this time without further bytes. Answers differ in size, and links in rate. */
+    std::optional<std::chrono::milliseconds> idleTimeout = std::nullopt;
 };
 
 /** \brief Why a call has no response. */
@@ -45,6 +50,7 @@
     std::string body;
     std::string etag;
     std::string header = {}; //!< Value of HttpCall::answerHeader; empty if there is none.
+    bool brokenOff = false;  //!< The call failed although a part of its answer had arrived.
 };
 
 struct HttpClientLimits
@@ -81,6 +87,9 @@
      * called asynchronously. */
     void setServer(Endpoint server);
 
+    /** \returns when bytes of an answer that is still incomplete last arrived, or nothing. */
+    [[nodiscard]] std::optional<TimePoint> lastArrival() const;
+
 private:
     std::shared_ptr<internal::HttpClientState> state;
 };
--- a/src/simulation/Experiment.cpp
+++ b/src/simulation/Experiment.cpp
@@ -17,7 +17,7 @@
 constexpr std::string_view idempotentName = "idempotent";
 
 // clang-format off
-constexpr std::array<Field, 9> experimentFields{{
+constexpr std::array<Field, 10> experimentFields{{
     {"domains", FieldType::Integer, "", "3", 1, 9, "", "failure domains"},
     {"instancesPerDomain", FieldType::Integer, "", "3", 1, 50, "", "instances in each domain"},
     {"instanceLinks", FieldType::ObjectList, "", "[]", 0, 50, "", "links of the instances of each domain, see the table of links; further instances have no limit"},
@@ -25,6 +25,7 @@
     {"steadyHash", FieldType::Flag, "", "false", 0, 0, "", "the fabric moves only flows of instances that come or go"},
     {"services", FieldType::ObjectList, "", "", 1, 50, "", "services, see the table of a service"},
     {"classes", FieldType::ObjectList, "", "", 1, 50, "", "request classes, see the table of a class"},
+    {"idleRoutes", FieldType::Integer, "", "0", 0, 100'000, "", "further routes of the configuration, without traffic"},
     {"faults", FieldType::ObjectList, "", "[]", 0, 1'000, "", "faults, see the table of a fault"},
     {"randomFaults", FieldType::Integer, "", "0", 0, 100, "", "so many more faults at random"},
 }};
@@ -137,6 +138,7 @@
     result.run.instancesPerDomain = static_cast<unsigned>(settings.integer("instancesPerDomain"));
     result.run.length = settings.milliseconds("lengthMs");
     result.run.steadyHash = settings.flag("steadyHash");
+    result.run.idleRoutes = static_cast<unsigned>(settings.integer("idleRoutes"));
     result.randomFaults = static_cast<std::size_t>(settings.integer("randomFaults"));
     for (const SettingsView &each : entries(settings, "instanceLinks", linkFields, faults))
         result.run.instanceLinks.push_back(
--- a/src/simulation/Operators.cpp
+++ b/src/simulation/Operators.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace bulrushgap::simulation {
@@ -12,6 +13,8 @@
 constexpr Duration writeAgainDelay = std::chrono::seconds(1);
 constexpr Duration operatorRetryInterval = std::chrono::milliseconds(200);
 
+constexpr std::uint32_t firstIdleRoute = 0xc633'0000; // 198.51.0.0
+
 } // namespace internal
 
 Operators::Operators(Surroundings &surroundings, const RunSettings &settings, PromiseChecks &checks)
@@ -111,6 +114,11 @@
         const std::string service = moved ? this->otherService(each.service) : each.service;
         result.routes.push_back({each.name, each.route, {{service, 1}}, each.kind});
     }
+    for (unsigned number = 0; number < this->settings.idleRoutes; ++number) {
+        result.routes.push_back({"idle-" + std::to_string(number),
+                                 {internal::firstIdleRoute + number, 80},
+                                 {{this->settings.services.front().name, 1}}});
+    }
     for (const ServiceSettings &each : this->settings.services)
         result.services.push_back(
             {each.name, UpstreamLimits{}.coldTime, each.coldRequestsPerSecond, 0});
--- a/src/simulation/RunSettings.h
+++ b/src/simulation/RunSettings.h
@@ -67,6 +67,7 @@
     std::vector<InstanceLinks> instanceLinks; //!< In order; further instances have no limit.
     std::vector<ServiceSettings> services;
     std::vector<RequestClass> classes;
+    unsigned idleRoutes = 0; //!< Further routes of the configuration, without traffic.
     LinkDelays delays;
     RunBounds bounds;
     bool steadyHash = false; //!< The fabric moves only the flows of instances that come or go.
--- a/src/simulation/SimulatedInstance.cpp
+++ b/src/simulation/SimulatedInstance.cpp
@@ -12,7 +12,6 @@
 
 constexpr Duration simulatedProbeTimeout = std::chrono::milliseconds(110);
 constexpr std::chrono::milliseconds peerListWait{400};
-constexpr Duration peerSilence = std::chrono::milliseconds(700);
 constexpr Duration peerWatchMargin = std::chrono::milliseconds(300);
 constexpr Duration simulatedStopDelay = std::chrono::milliseconds(1'500);
 constexpr std::size_t simulatedFlowCapacity = 100'000;
@@ -41,8 +40,8 @@
         this->counters.add("peer_list");
         const balance::ViewRequest request{kind, std::nullopt, this->listWait, this->direct};
         RemoteCall<ViewList>::send(
-            this->surroundings, this->ends, peerSilence, this->alive, std::move(handler),
-            [find = this->find, request](auto respond) {
+            this->surroundings, this->ends, {AnswerArrivals::idleTimeout, this->arrivals},
+            this->alive, std::move(handler), [find = this->find, request](auto respond) {
                 onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
                     mirror.list(request, [&mirror, kind = request.kind, respond](const auto &list) {
                         const Bytes message = balance::encodeList(kind, *list);
@@ -60,8 +59,8 @@
         this->counters.add("peer_watch");
         const balance::ViewRequest request{kind, since, wait, this->direct};
         RemoteCall<ViewEvents>::send(
-            this->surroundings, this->ends, wait + peerWatchMargin, this->watchesAlive,
-            std::move(handler), [find = this->find, request](auto respond) {
+            this->surroundings, this->ends, {wait + peerWatchMargin, this->arrivals},
+            this->watchesAlive, std::move(handler), [find = this->find, request](auto respond) {
                 onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
                     mirror.watch(
                         request, [&mirror, kind = request.kind, respond](const auto &events) {
@@ -75,9 +74,24 @@
             });
     }
 
-    void dropWatches() override { this->watchesAlive = std::make_shared<bool>(true); }
+    void dropWatches() override
+    {
+        this->watchesAlive = std::make_shared<bool>(true);
+        this->arrivals = connectionArrivals();
+    }
+
+    [[nodiscard]] std::optional<TimePoint> lastArrival() const override
+    {
+        return this->arrivals->count > 0 ? std::optional(this->surroundings.loop.now())
+                                         : std::nullopt;
+    }
 
 private:
+    static std::shared_ptr<AnswerArrivals> connectionArrivals()
+    {
+        return std::make_shared<AnswerArrivals>(AnswerArrivals{0, true});
+    }
+
     /** \brief Runs \a task in the other process; without one, nobody answers. */
     static void onPeer(const Find &find, const std::function<void(balance::ObjectMirror &)> &task)
     {
@@ -99,6 +113,7 @@
     Find find;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::shared_ptr<bool> watchesAlive = std::make_shared<bool>(true);
+    std::shared_ptr<AnswerArrivals> arrivals = connectionArrivals();
 };
 
 } // namespace internal
--- a/src/simulation/SimulatedStore.cpp
+++ b/src/simulation/SimulatedStore.cpp
@@ -10,13 +10,32 @@
 constexpr Duration storeCallTimeout = std::chrono::seconds(1);
 constexpr Duration storeWatchMargin = std::chrono::milliseconds(400);
 
-/** Sizes of an answer of the store without objects, and of an object in it. */
+/** Sizes of an answer of the store without objects, of an object in it, and of a route. */
 constexpr std::size_t storeAnswerBytes = 200;
 constexpr std::size_t storeObjectBytes = 300;
+constexpr std::size_t storeRouteBytes = 187;
 
-std::size_t answerBytes(std::size_t objects)
+std::size_t bytesOf(const balance::ViewObject &object)
 {
-    return storeAnswerBytes + objects * storeObjectBytes;
+    const auto *configuration = std::get_if<balance::ConfigurationPtr>(&object);
+    const std::size_t routes = configuration == nullptr ? 0 : (*configuration)->routes.size();
+    return storeObjectBytes + routes * storeRouteBytes;
+}
+
+std::size_t bytesOf(const ViewList &list)
+{
+    std::size_t bytes = storeAnswerBytes;
+    for (const balance::ViewItem &item : list.objects)
+        bytes += bytesOf(item.value);
+    return bytes;
+}
+
+std::size_t bytesOf(const ViewEvents &events)
+{
+    std::size_t bytes = storeAnswerBytes;
+    for (const balance::ViewEvent &event : events.events)
+        bytes += event.value ? bytesOf(*event.value) : storeObjectBytes;
+    return bytes;
 }
 
 const Place storePlace{Place::Role::Store, "", "store"};
@@ -51,6 +70,11 @@
     return this->surroundings.storeFaults.modeFor(this->ends.from.name) == StoreMode::Silent;
 }
 
+std::optional<TimePoint> SimulatedStore::lastArrival() const
+{
+    return this->arrivals->count > 0 ? std::optional(this->surroundings.loop.now()) : std::nullopt;
+}
+
 Duration SimulatedStore::serviceTime() const
 {
     return std::chrono::duration_cast<Duration>(internal::storeServiceTime
@@ -61,8 +85,8 @@
 {
     this->counters.add("store_list");
     RemoteCall<ViewList>::send(
-        this->surroundings, this->ends, internal::storeCallTimeout, this->alive, std::move(handler),
-        [this, kind, weak = std::weak_ptr(this->alive)](auto respond) {
+        this->surroundings, this->ends, {internal::storeCallTimeout, this->arrivals}, this->alive,
+        std::move(handler), [this, kind, weak = std::weak_ptr(this->alive)](auto respond) {
             if (weak.expired() || this->isSilent())
                 return;
             if (const PlatformResult refused = this->refusal(); refused != PlatformResult::Ok)
@@ -71,7 +95,7 @@
                 if (weak.expired())
                     return;
                 ViewList list = this->surroundings.store.list(kind);
-                const std::size_t bytes = internal::answerBytes(list.objects.size());
+                const std::size_t bytes = internal::bytesOf(list);
                 respond(std::move(list), bytes);
             });
         });
@@ -82,8 +106,8 @@
 {
     this->counters.add("store_watch");
     RemoteCall<ViewEvents>::send(
-        this->surroundings, this->ends, wait + internal::storeWatchMargin, this->watchesAlive,
-        std::move(handler),
+        this->surroundings, this->ends, {wait + internal::storeWatchMargin, this->arrivals},
+        this->watchesAlive, std::move(handler),
         [this, kind, since, wait, weak = std::weak_ptr(this->alive)](auto respond) {
             if (weak.expired() || this->isSilent())
                 return;
@@ -97,7 +121,7 @@
                     if (events.revision.era > since.era)
                         events = {PlatformResult::Gone, {}, {}};
                     this->surroundings.loop.after(this->serviceTime(), [respond, events] {
-                        respond(events, internal::answerBytes(events.events.size()));
+                        respond(events, internal::bytesOf(events));
                     });
                 });
         });
@@ -110,7 +134,8 @@
         handler(result.value_or(PlatformResult::LostAnswer));
     };
     RemoteCall<std::optional<PlatformResult>>::send(
-        this->surroundings, this->ends, internal::storeCallTimeout, this->alive, onAnswer,
+        this->surroundings, this->ends, {internal::storeCallTimeout, this->arrivals}, this->alive,
+        onAnswer,
         [this, apply = std::move(apply), weak = std::weak_ptr(this->alive)](auto respond) {
             if (weak.expired() || this->isSilent())
                 return;
--- a/src/simulation/SimulatedStore.h
+++ b/src/simulation/SimulatedStore.h
@@ -18,7 +18,12 @@
     void list(ViewKind kind, ListHandler handler) override;
     void watchFor(ViewKind kind, StoreRevision since, std::chrono::milliseconds wait,
                   WatchHandler handler) override;
-    void dropWatches() override { this->watchesAlive = std::make_shared<bool>(true); }
+    void dropWatches() override
+    {
+        this->watchesAlive = std::make_shared<bool>(true);
+        this->arrivals = std::make_shared<AnswerArrivals>();
+    }
+    [[nodiscard]] std::optional<TimePoint> lastArrival() const override;
 
     void createMember(const balance::Member &member, WriteHandler handler) override;
     void replaceMember(const balance::Member &member, WriteHandler handler) override;
@@ -36,6 +41,7 @@
     Counters &counters;
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
     std::shared_ptr<bool> watchesAlive = std::make_shared<bool>(true);
+    std::shared_ptr<AnswerArrivals> arrivals = std::make_shared<AnswerArrivals>();
 };
 
 } // namespace bulrushgap::simulation
--- a/src/simulation/Transport.cpp
+++ b/src/simulation/Transport.cpp
@@ -18,10 +18,14 @@
     this->limited.insert_or_assign(name, Link{LinkQueue(capacity), LinkQueue(capacity)});
 }
 
-void Transport::send(const Place &from, const Place &to, Transmission transmission, Callback arrive)
+void Transport::send(const Place &from, const Place &to, Transmission transmission, Callback arrive,
+                     Callback begin)
 {
     if (!this->links.passes(from, to))
         return;
+    // Bytes pass on from link to link, so the first ones are ahead of the rest.
+    if (begin)
+        this->loop.after(this->links.delay(from, to), std::move(begin));
     this->leave(from, transmission, [this, from, to, transmission, arrive = std::move(arrive)] {
         this->loop.after(this->links.delay(from, to), [this, to, transmission, arrive] {
             this->enter(to, transmission, arrive);
--- a/src/simulation/Transport.h
+++ b/src/simulation/Transport.h
@@ -44,8 +44,10 @@
     /** \brief Limits the link of a place, in each direction. */
     void limit(const std::string &name, LinkCapacity capacity);
 
-    /** \brief Sends something; \a arrive is called when all of it is there, or never. */
-    void send(const Place &from, const Place &to, Transmission transmission, Callback arrive);
+    /** \brief Sends something; \a arrive is called when all of it is there, or never.
+     * \param begin called when the first bytes of a stream may be there; may be empty */
+    void send(const Place &from, const Place &to, Transmission transmission, Callback arrive,
+              Callback begin = {});
 
     /** \brief Opens a connection and closes it at once; the other place answers.
      * \param answered called when the answer is here, at once without delay on the links. */
--- a/src/store/PlatformClient.cpp
+++ b/src/store/PlatformClient.cpp
@@ -92,6 +92,7 @@
     HttpCall call;
     call.target = std::move(target);
     call.timeout = this->timeouts.call;
+    call.idleTimeout = this->timeouts.idle;
     call.idempotent = true;
     this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
         handler(internal::listOutcome(outcome));
@@ -114,6 +115,7 @@
     HttpCall call;
     call.target = "/objects/" + internal::encodedKey(key);
     call.timeout = this->timeouts.call;
+    call.idleTimeout = this->timeouts.idle;
     call.idempotent = true;
     this->calls.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
         GetOutcome get;
@@ -166,6 +168,7 @@
                   + "&since=" + std::to_string(since.number)
                   + "&timeout=" + std::to_string(this->timeouts.watch.count());
     call.timeout = this->timeouts.watch + responseMargin;
+    call.idleTimeout = this->timeouts.idle;
     this->watches.send(std::move(call), [handler = std::move(handler)](const HttpOutcome &outcome) {
         handler(internal::watchOutcome(outcome));
     });
--- a/src/store/PlatformClient.h
+++ b/src/store/PlatformClient.h
@@ -15,6 +15,7 @@
 {
     std::chrono::milliseconds call{2'000};
     std::chrono::milliseconds watch{20'000}; //!< How long a watch waits for an event.
+    std::chrono::milliseconds idle{1'000};   //!< Without further bytes of an answer that has begun.
 };
 
 /** \brief Client of the platform's object API.
--- a/src/view/HedgedList.cpp
+++ b/src/view/HedgedList.cpp
@@ -1,6 +1,8 @@
 #include "view/HedgedList.h"
 
+#include <algorithm>
 #include <cassert>
+#include <span>
 #include <utility>
 
 namespace bulrushgap::balance {
@@ -41,7 +43,12 @@
 
 void HedgedList::onDelayElapsed(Duration waited)
 {
-    const bool responding = this->hooks.isResponding(this->plan.order[this->asked - 1]);
+    const std::span<const ViewSource> askedSources(this->plan.order.data(), this->asked);
+    if (std::ranges::any_of(askedSources, this->hooks.isArriving)) {
+        this->waitForAnswer(waited);
+        return;
+    }
+    const bool responding = this->hooks.isResponding(askedSources.back());
     if (responding && waited < this->plan.respondingDelay)
         this->waitForAnswer(this->plan.respondingDelay);
     else
--- a/src/view/HedgedList.h
+++ b/src/view/HedgedList.h
@@ -14,8 +14,9 @@
 /** \brief One list that is requested from several sources, one after the other.
  *
  * The next source is asked when the earlier ones have failed or not answered for some time; a
- * source that is known to respond gets more time, since lists differ in size. The first usable
- * answer is the result; if there is none, the last failure is.
+ * source that is known to respond gets more time, since lists differ in size, and no other is asked
+ * while its answer goes on arriving. The first usable answer is the result; if there is none, the
+ * last failure is.
  */
 class HedgedList : public std::enable_shared_from_this<HedgedList>
 {
@@ -36,10 +37,14 @@
     /** \returns whether a source has answered another list. */
     using RespondingCheck = std::function<bool(const ViewSource &source)>;
 
+    /** \returns whether bytes of an answer of a source have come just now. */
+    using ArrivingCheck = std::function<bool(const ViewSource &source)>;
+
     struct Hooks
     {
         Send send;
         RespondingCheck isResponding;
+        ArrivingCheck isArriving;
     };
 
     /** \brief Sends the first request. */
--- a/src/view/ObjectSource.h
+++ b/src/view/ObjectSource.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "base/Time.h"
 #include "view/ViewObject.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string_view>
 
 namespace bulrushgap::balance {
@@ -30,6 +32,9 @@
 
     /** \brief Drops all pending watches without calling their handlers; pending lists may fail. */
     virtual void dropWatches() = 0;
+
+    /** \returns when bytes of an answer that is still incomplete last arrived, or nothing. */
+    [[nodiscard]] virtual std::optional<TimePoint> lastArrival() const { return std::nullopt; }
 };
 
 /** \brief Writes the registration entries of instances. */
--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -40,6 +40,13 @@
 /** Interval at which an instance with an old view checks whether it may leave its source. */
 constexpr Duration deadlineCheckInterval = milliseconds(100);
 
+/** An answer is arriving if bytes of it have come this recently. */
+constexpr Duration maxArrivalGap = milliseconds(200);
+
+/** How long an arriving answer may delay that an instance leaves its source with an old view; the
+ * store may have a faster link. */
+constexpr Duration maxArrivalDelay = std::chrono::seconds(2);
+
 /** Two ages of the same view differ by the transit times of the replies that told them. */
 constexpr Duration minAgeDifference = milliseconds(100);
 
@@ -71,6 +78,24 @@
     return *peer;
 }
 
+bool SourcedStore::isArriving(const ViewSource &source)
+{
+    const auto last = this->clientFor(source).lastArrival();
+    return last && this->scheduler.now() - *last <= internal::maxArrivalGap;
+}
+
+void SourcedStore::noteConfigurationAsked(const ViewSource &source, ViewKind kind, Duration wait)
+{
+    if (source.isStore() && kind == ViewKind::Configurations && !this->configurationDueAt)
+        this->configurationDueAt = this->scheduler.now() + wait;
+}
+
+void SourcedStore::noteConfigurationAnswered(const ViewSource &source, ViewKind kind)
+{
+    if (source.isStore() && kind == ViewKind::Configurations)
+        this->configurationDueAt.reset();
+}
+
 bool SourcedStore::isConnected() const
 {
     if (this->verified)
@@ -94,11 +119,14 @@
     }
     this->sources.retryPreferred(this->scheduler.now());
     const auto source = this->sources.current();
-    this->clientFor(source).list(kind,
-                                 [this, source, handler = std::move(handler)](ViewList outcome) {
-                                     this->onResult(source, outcome.result, outcome.freshness);
-                                     handler(std::move(outcome));
-                                 });
+    this->noteConfigurationAsked(source, kind, internal::initialWait);
+    this->clientFor(source).list(
+        kind, [this, kind, source, handler = std::move(handler)](ViewList outcome) {
+            if (internal::isAnswer(outcome.result))
+                this->noteConfigurationAnswered(source, kind);
+            this->onResult(source, outcome.result, outcome.freshness);
+            handler(std::move(outcome));
+        });
 }
 
 void SourcedStore::listAtStart(ViewKind kind, ListHandler handler)
@@ -107,6 +135,9 @@
     listHooks.isResponding = [this](const ViewSource &source) {
         return this->startSources.contains(source);
     };
+    listHooks.isArriving = [this](const ViewSource &source) {
+        return this->isArriving(source);
+    };
     listHooks.send = [this, kind](const ViewSource &source, const ListHandler &onList) {
         this->clientFor(source).list(kind, [this, source, onList](ViewList outcome) {
             if (this->isTooOldForStart(outcome.freshness))
@@ -180,10 +211,13 @@
         if (!probe && outcome.result == PlatformResult::Ok
             && watch->source == this->sources.current())
             this->confirmed.insert(watch->kind);
+        if (internal::isAnswer(outcome.result))
+            this->noteConfigurationAnswered(watch->source, watch->kind);
         this->onResult(watch->source, outcome.result, outcome.freshness);
         watch->handler(std::move(outcome));
     };
     const auto wait = probe ? internal::probeWait : this->waitFor(watch->kind, watch->source);
+    this->noteConfigurationAsked(watch->source, watch->kind, wait);
     this->clientFor(watch->source).watchFor(watch->kind, since, wait, onAnswer);
 }
 
@@ -241,6 +275,11 @@
     }
     if (this->isWithinBusyGrace(source, result))
         return;
+    // The source is not lost, only this call is.
+    if (this->isArriving(source)) {
+        this->counters.add("source_call_failed");
+        return;
+    }
     // One grace period for each round of sources: several in a row would keep this instance from
     // the store for seconds although the store answers it.
     if (source.isStore())
@@ -277,6 +316,7 @@
     }
     this->direct = false;
     this->confirmed.clear();
+    this->configurationDueAt.reset();
 }
 
 bool SourcedStore::isCurrentEnough(const ViewSource &source, const ReplyFreshness &freshness) const
@@ -308,6 +348,11 @@
         this->startDeadline(internal::deadlineCheckInterval);
         return;
     }
+    if (this->age() < limit + internal::maxArrivalDelay && this->isArriving(source)) {
+        this->counters.add("view_stale_arriving");
+        this->startDeadline(internal::deadlineCheckInterval);
+        return;
+    }
     const bool first = this->deadline.onPassed(now);
     this->noteSourceLost();
     this->sources.onViewStale(now, !first);
@@ -322,7 +367,10 @@
 
 void SourcedStore::noteFreshness(const ViewSource &source, const ReplyFreshness &freshness)
 {
-    this->confirmedAt = this->scheduler.now() - freshness.age;
+    TimePoint answeredAt = this->scheduler.now();
+    if (source.isStore() && this->configurationDueAt)
+        answeredAt = std::min(answeredAt, *this->configurationDueAt);
+    this->confirmedAt = answeredAt - freshness.age;
     if (this->isFresh())
         this->deadline.onFresh();
     this->startDeadline(Duration::zero());
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -35,7 +35,8 @@
  * While the instance starts, each list is requested from several sources. Otherwise, when a call to
  * a source fails, all watches pending at it fail too. A source that stops responding is thus
  * abandoned as soon as the watch with the shortest wait times out. It is also abandoned when the
- * view passes the limit on its age, whatever the source replies.
+ * view passes the limit on its age, whatever the source replies. Neither breaks off an answer that
+ * goes on arriving, which may take seconds on a weak link.
  */
 class SourcedStore : public ViewStore
 {
@@ -82,6 +83,13 @@
     };
 
     [[nodiscard]] ObjectSource &clientFor(const ViewSource &source);
+
+    /** \returns whether bytes of an incomplete answer of the source have come just now. */
+    [[nodiscard]] bool isArriving(const ViewSource &source);
+
+    /** \brief Notes that the store is asked for the configuration, and when its answer is due. */
+    void noteConfigurationAsked(const ViewSource &source, ViewKind kind, Duration wait);
+    void noteConfigurationAnswered(const ViewSource &source, ViewKind kind);
     [[nodiscard]] bool isWithinBusyGrace(const ViewSource &source, PlatformResult result);
     [[nodiscard]] bool isTooOldForStart(const ReplyFreshness &freshness) const;
     void onResult(const ViewSource &source, PlatformResult result, const ReplyFreshness &freshness);
@@ -124,8 +132,11 @@
     std::optional<ViewSource> answeredSource; //!< Source of the last answer.
     std::vector<Scheduler::Timer> delayedLists;
     std::optional<TimePoint> confirmedAt; //!< When the store confirmed the view.
-    std::optional<TimePoint> lostAt;      //!< When the current source stopped responding.
-    Duration ageAtLoss{};                 //!< Age of the view when the source stopped responding.
+    /** Until when the store has to answer the pending read of the configuration. Later answers
+     * about other kinds don't confirm the view: the configuration may be an old one. */
+    std::optional<TimePoint> configurationDueAt;
+    std::optional<TimePoint> lostAt; //!< When the current source stopped responding.
+    Duration ageAtLoss{};            //!< Age of the view when the source stopped responding.
     TimePoint startedAt;
     FreshnessDeadline deadline;
     Scheduler::Timer deadlineTimer;
--- a/tests/HedgedList.cpp
+++ b/tests/HedgedList.cpp
@@ -29,8 +29,10 @@
     std::size_t asked = 0;
 };
 
-/** \brief Requests one list; the revision of an answer is the number of its source, from 1. */
-Outcome play(const std::vector<Behaviour> &sources, bool responding = false)
+/** \brief Requests one list; the revision of an answer is the number of its source, from 1.
+ * \param arrivingUntil until when bytes of the first source's answer arrive, or nothing */
+Outcome play(const std::vector<Behaviour> &sources, bool responding = false,
+             std::optional<milliseconds> arrivingUntil = std::nullopt)
 {
     simulation::EventLoop loop;
     const Scheduler scheduler = loop.scheduler();
@@ -55,8 +57,10 @@
                                handler({behaviour.result, revision, {}, {}});
                            });
                        },
-                       [responding](const ViewSource &) {
-                           return responding;
+                       [responding](const ViewSource &) { return responding; },
+                       [&](const ViewSource &source) {
+                           return source.peer->address == 1 && arrivingUntil
+                                  && loop.now() - start < *arrivingUntil;
                        }},
                       [&](ViewList list) {
                           CHECK_FALSE(outcome.list.has_value());
@@ -129,3 +133,22 @@
     }));
     CHECK(play({{each.delay}, {milliseconds(500)}}, each.responding).asked == each.asked);
 }
+
+// Guards against a large list on a weak link that is requested from every source, so that all their
+// answers share the link, and against one that stops arriving and is waited for.
+TEST_CASE("no other source is asked while an answer goes on arriving", "[HedgedList]")
+{
+    struct Case
+    {
+        std::optional<milliseconds> delay; //!< Empty for an answer that stops in the middle.
+        milliseconds arrivingUntil;
+        std::size_t asked;
+    };
+    const auto each = GENERATE(values<Case>({
+        {milliseconds(900), milliseconds(900), 1},
+        {std::nullopt, milliseconds(300), 2},
+    }));
+    const Outcome outcome = play({{each.delay}, {milliseconds(5)}}, false, each.arrivingUntil);
+    CHECK(outcome.asked == each.asked);
+    CHECK(outcome.list.has_value());
+}
