--- a/src/admin/AdminApi.cpp
+++ b/src/admin/AdminApi.cpp
@@ -216,7 +216,7 @@
     const auto onWritten = [key = object.key, respond](const WriteReport &report) {
         respond(internal::writeReply(key, report));
     };
-    this->writer.write(object.key, std::move(value), object.version, onWritten);
+    this->writer.write(object.key, std::move(value), object.version.number, onWritten);
 }
 
 void AdminApi::put(ObjectKind kind, const HttpRequestView &request, const HttpResponder &respond)
@@ -237,7 +237,7 @@
     // The read before the write tells an unreachable platform apart from a lost answer.
     this->store.get(key, [this, key, value, requested, respond](const GetOutcome &outcome) {
         const bool absent = outcome.result == PlatformResult::NotFound;
-        const std::uint64_t current = absent ? 0 : outcome.object.version;
+        const std::uint64_t current = absent ? 0 : outcome.object.version.number;
         if (!absent && outcome.result != PlatformResult::Ok)
             respond(internal::failureReply(outcome.result, 0));
         else if (auto fault = internal::versionFault(requested, current))
@@ -254,7 +254,7 @@
     this->store.get(key, [this, requested, respond](const GetOutcome &outcome) {
         if (outcome.result != PlatformResult::Ok)
             respond(internal::failureReply(outcome.result, 0));
-        else if (auto fault = internal::versionFault(requested, outcome.object.version))
+        else if (auto fault = internal::versionFault(requested, outcome.object.version.number))
             respond(std::move(*fault));
         else
             this->replace(outcome.object, std::nullopt, respond);
@@ -277,7 +277,7 @@
             respond(internal::failureReply(outcome.result, 0));
             return;
         }
-        if (auto fault = internal::versionFault(requested, outcome.object.version)) {
+        if (auto fault = internal::versionFault(requested, outcome.object.version.number)) {
             respond(std::move(*fault));
             return;
         }
@@ -349,7 +349,7 @@
         if (outcome.result != PlatformResult::Ok)
             progress->result = outcome.result;
         for (const StoredObject &object : outcome.objects)
-            progress->version = std::max(progress->version, object.version);
+            progress->version = std::max(progress->version, object.version.number);
         if (--progress->pending > 0)
             return;
         respond(progress->result == PlatformResult::Ok
--- a/src/admin/AdminReplies.cpp
+++ b/src/admin/AdminReplies.cpp
@@ -11,7 +11,7 @@
 
 boost::json::object objectMembers(const StoredObject &object)
 {
-    return {{"key", object.key}, {"version", object.version}, {"value", object.value}};
+    return {{"key", object.key}, {"version", object.version.number}, {"value", object.value}};
 }
 
 /** \returns what a report says to people. */
@@ -67,7 +67,7 @@
 HttpReply objectReply(const StoredObject &object)
 {
     HttpReply reply = adminReply(200, objectMembers(object));
-    reply.etag = std::to_string(object.version);
+    reply.etag = std::to_string(object.version.number);
     return reply;
 }
 
--- a/src/admin/LabelChanger.cpp
+++ b/src/admin/LabelChanger.cpp
@@ -63,7 +63,7 @@
     const LabelChange &change = attempt->change;
     const auto now = labelOf(object.value, change.label);
     const auto report = [&](PlatformResult result) {
-        attempt->handler(LabelReport{attempt->key, false, result, object.version});
+        attempt->handler(LabelReport{attempt->key, false, result, object.version.number});
     };
     const bool decidedByOther = !std::exchange(attempt->first, false) && now != attempt->initial;
     attempt->initial = now;
@@ -85,7 +85,7 @@
         ++attempt->conflicts;
         this->read(attempt);
     };
-    this->writer.write(attempt->key, std::move(object.value), object.version, onWritten);
+    this->writer.write(attempt->key, std::move(object.value), object.version.number, onWritten);
 }
 
 void LabelChanger::changeAll(std::vector<std::string> keys, const LabelChange &change,
--- a/src/admin/ObjectWriter.cpp
+++ b/src/admin/ObjectWriter.cpp
@@ -23,11 +23,12 @@
                             std::uint64_t version, const Handler &handler)
 {
     this->store.get(key, [value, version, handler](GetOutcome outcome) {
-        WriteReport report{PlatformResult::LostAnswer, outcome.object.version, true, std::nullopt};
+        WriteReport report{PlatformResult::LostAnswer, outcome.object.version.number, true,
+                           std::nullopt};
         const bool found = outcome.result == PlatformResult::Ok;
         const bool gone = outcome.result == PlatformResult::NotFound;
-        const bool written
-            = found && value && outcome.object.version != version && outcome.object.value == *value;
+        const bool written = found && value && outcome.object.version.number != version
+                             && outcome.object.value == *value;
         if (written || (gone && !value))
             report.result = PlatformResult::Ok;
         else if (found)
--- a/src/role/InstanceRegistration.cpp
+++ b/src/role/InstanceRegistration.cpp
@@ -34,7 +34,7 @@
 {
     this->client.get(this->key, [this](const GetOutcome &outcome) {
         if (outcome.result == PlatformResult::Ok)
-            this->write(outcome.object.version);
+            this->write(outcome.object.version.number);
         else if (outcome.result == PlatformResult::NotFound)
             this->write(0);
         else
--- a/src/role/ObjectFeed.cpp
+++ b/src/role/ObjectFeed.cpp
@@ -43,13 +43,13 @@
         std::vector<ListedObject> objects;
         for (const auto &event : update.events) {
             if (event.value)
-                objects.push_back({event.key, event.version, *event.value});
+                objects.push_back({event.key, event.version.number, *event.value});
         }
         this->view.applyList(internal::allObjectsPrefix, update.revision.number, objects);
         return;
     }
     for (const auto &event : update.events)
-        this->view.apply(event.key, event.version, event.value);
+        this->view.apply(event.key, event.version.number, event.value);
     this->view.advance(internal::allObjectsPrefix, update.revision.number);
 }
 
--- a/src/role/PlanStore.cpp
+++ b/src/role/PlanStore.cpp
@@ -38,10 +38,11 @@
         result.kind = ReadResult::Kind::Missing;
     if (outcome.result != PlatformResult::Ok)
         return result;
-    result.version = outcome.object.version;
+    result.version = outcome.object.version.number;
     result.kind = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<ReadResult::Kind> {
-            BOOST_LEAF_AUTO(stored, planFromJson(outcome.object.value, outcome.object.version));
+            BOOST_LEAF_AUTO(stored,
+                            planFromJson(outcome.object.value, outcome.object.version.number));
             result.plan = std::move(stored.plan);
             result.writeId = stored.writeId;
             return ReadResult::Kind::Found;
--- a/src/simulation/StoreModel.cpp
+++ b/src/simulation/StoreModel.cpp
@@ -10,24 +10,23 @@
     const auto found = known.find(name);
     if (found != known.end() && found->second.value == value)
         return;
-    ++this->current;
-    known.insert_or_assign(name, balance::ViewItem{name, this->current, value});
-    this->record(kind, {name, this->current, value});
+    const StoreRevision revision{this->currentEra, ++this->current};
+    known.insert_or_assign(name, balance::ViewItem{name, revision, value});
+    this->record(kind, {name, revision, value});
 }
 
 void StoreModel::remove(ViewKind kind, const std::string &name)
 {
     if (this->objectsOf(kind).erase(name) == 0)
         return;
-    ++this->current;
-    this->record(kind, {name, this->current, std::nullopt});
+    this->record(kind, {name, {this->currentEra, ++this->current}, std::nullopt});
 }
 
 std::optional<std::uint64_t> StoreModel::revisionOf(ViewKind kind, const std::string &name) const
 {
     const Objects &known = this->objects.at(static_cast<std::size_t>(kind));
     const auto found = known.find(name);
-    return found == known.end() ? std::nullopt : std::optional(found->second.version);
+    return found == known.end() ? std::nullopt : std::optional(found->second.version.number);
 }
 
 ViewList StoreModel::list(ViewKind kind) const
@@ -43,7 +42,7 @@
     const TimePoint now = this->scheduler.now();
     this->changes.push_back({now, kind, std::move(event)});
     while (!this->changes.empty() && now - this->changes.front().at > this->history) {
-        this->oldest = this->changes.front().event.version;
+        this->oldest = this->changes.front().event.version.number;
         this->changes.pop_front();
     }
     const auto before = std::exchange(this->waiting, {});
@@ -61,7 +60,7 @@
         return {PlatformResult::Gone, 0, {}};
     ViewEvents events{PlatformResult::Ok, {this->currentEra, this->current}, {}};
     for (const Change &change : this->changes) {
-        if (change.kind == kind && change.event.version > since)
+        if (change.kind == kind && change.event.version.number > since)
             events.events.push_back(change.event);
     }
     return events;
@@ -99,6 +98,10 @@
     ++this->currentEra;
     this->current = copy.revision;
     this->objects = std::move(copy.objects);
+    for (Objects &known : this->objects) {
+        for (auto &[name, item] : known)
+            item.version.era = this->currentEra;
+    }
     this->oldest = this->current;
     this->changes.clear();
     this->waiting.clear();
--- a/src/store/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -40,7 +40,7 @@
 struct BasicStoredObject
 {
     std::string key;
-    std::uint64_t version = 0; //!< Of the era of its list.
+    StoreRevision version; //!< Revision of its last change.
     Value value{};
 };
 
@@ -57,7 +57,7 @@
 struct BasicWatchEvent
 {
     std::string key;
-    std::uint64_t version = 0;  //!< Of the era of its answer.
+    StoreRevision version;      //!< Of the change; an answer may have changes of several eras.
     std::optional<Value> value; //!< Empty if the object was deleted.
 };
 
--- a/src/view/MalformedObjects.cpp
+++ b/src/view/MalformedObjects.cpp
@@ -16,7 +16,7 @@
             revisions.erase(event.key);
             continue;
         }
-        const StoreRevision revision{update.revision.era, event.version};
+        const StoreRevision revision = event.version;
         const auto earlier = before.find(event.key);
         const bool known = (earlier != before.end() && earlier->second.contains(revision))
                            || revisions[event.key].contains(revision);
@@ -33,7 +33,7 @@
     this->counters.add("object_malformed");
     this->log.warn("object_malformed", {{"kind", toString(kind)},
                                         {"name", event.key},
-                                        {"revision", event.version},
+                                        {"revision", event.version.number},
                                         {"member", object.member},
                                         {"expected", object.expected}});
 }
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -52,11 +52,12 @@
     {}
 
     /** \param value null for a removed object. */
-    void add(ViewKind kind, const std::string &name, std::uint64_t revision,
+    void add(ViewKind kind, const std::string &name, StoreRevision revision,
              const ViewObject *value)
     {
         this->names.push_back(this->builder.CreateString(name));
-        this->revisions.push_back(revision);
+        this->revisions.push_back(revision.number);
+        this->eras.push_back(revision.era);
         this->removed.push_back(value == nullptr ? 1 : 0);
         switch (kind) {
         case ViewKind::Upstreams:
@@ -73,7 +74,8 @@
         }
     }
 
-    Offset<viewwire::Objects> finish()
+    /** \param replyEra era of the reply, which needs not be told again */
+    Offset<viewwire::Objects> finish(std::uint64_t replyEra)
     {
         const auto names = this->builder.CreateVector(this->names);
         const auto revisions = this->builder.CreateVector(this->revisions);
@@ -83,8 +85,11 @@
         const auto upstreams = this->builder.CreateVectorOfStructs(this->upstreams);
         const auto members = this->builder.CreateVectorOfStructs(this->members);
         const auto configurations = this->builder.CreateVector(this->configurations);
+        const bool sameEra = std::ranges::all_of(
+            this->eras, [replyEra](std::uint64_t era) { return era == replyEra; });
+        const auto eras = sameEra ? 0 : this->builder.CreateVector(this->eras);
         return viewwire::CreateObjects(this->builder, names, revisions, removed, texts, upstreams,
-                                       members, configurations);
+                                       members, configurations, eras);
     }
 
 private:
@@ -137,6 +142,7 @@
     StringTable texts;
     std::vector<Offset<flatbuffers::String>> names;
     std::vector<std::uint64_t> revisions;
+    std::vector<std::uint64_t> eras; //!< Of the revisions.
     std::vector<std::uint8_t> removed;
     std::vector<viewwire::UpstreamNumbers> upstreams;
     std::vector<viewwire::MemberNumbers> members;
@@ -152,7 +158,7 @@
 Bytes finishReply(FlatBufferBuilder &builder, PlatformResult result, StoreRevision revision,
                   ObjectsWriter &objects)
 {
-    const auto written = objects.finish();
+    const auto written = objects.finish(revision.era);
     builder.Finish(viewwire::CreateReply(builder, static_cast<std::uint8_t>(result),
                                          revision.number, written, 0, revision.era));
     return bytesOf(builder);
@@ -200,9 +206,10 @@
 class ObjectsReader
 {
 public:
-    ObjectsReader(ViewKind kind, const viewwire::Objects *objects)
+    ObjectsReader(ViewKind kind, const viewwire::Reply &reply)
         : kind(kind)
-        , objects(objects)
+        , replyEra(reply.era())
+        , objects(reply.objects())
     {}
 
     [[nodiscard]] bool isValid() const { return this->valid; }
@@ -214,8 +221,8 @@
             return events;
         const std::size_t count = this->objects->names()->size();
         if (!this->fits(this->objects->revisions(), count) || !this->hasValues(count)
-            || (this->objects->removed() != nullptr
-                && !this->fits(this->objects->removed(), count))) {
+            || !this->fitsIfPresent(this->objects->removed(), count)
+            || !this->fitsIfPresent(this->objects->eras(), count)) {
             this->valid = false;
             return events;
         }
@@ -232,6 +239,12 @@
         return vector != nullptr && vector->size() == count;
     }
 
+    template <typename Vector>
+    [[nodiscard]] bool fitsIfPresent(const Vector *vector, std::size_t count) const
+    {
+        return vector == nullptr || vector->size() == count;
+    }
+
     [[nodiscard]] bool hasValues(std::size_t count) const
     {
         switch (this->kind) {
@@ -251,7 +264,9 @@
     {
         ViewEvent event;
         event.key = this->objects->names()->Get(i)->str();
-        event.version = this->objects->revisions()->Get(i);
+        const auto *eras = this->objects->eras();
+        event.version
+            = {eras == nullptr ? this->replyEra : eras->Get(i), this->objects->revisions()->Get(i)};
         const auto *removed = this->objects->removed();
         if (removed == nullptr || removed->Get(i) == 0)
             event.value = this->valueAt(i, event.key);
@@ -350,6 +365,7 @@
     }
 
     ViewKind kind;
+    std::uint64_t replyEra;
     const viewwire::Objects *objects;
     bool valid = true;
 };
@@ -370,7 +386,7 @@
         return std::nullopt;
     if (reply->result() > static_cast<std::uint8_t>(PlatformResult::LostAnswer))
         return std::nullopt;
-    ObjectsReader reader(kind, reply->objects());
+    ObjectsReader reader(kind, *reply);
     DecodedReply decoded{static_cast<PlatformResult>(reply->result()),
                          {reply->era(), reply->revision()},
                          reader.read()};
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -24,21 +24,21 @@
  * entries have lapsed. */
 constexpr Duration maxConfirmedAge = std::chrono::seconds(3);
 
-RegistryChange changeOf(const ViewEvent &event, std::uint64_t era)
+RegistryChange changeOf(const ViewEvent &event)
 {
-    RegistryChange change{event.key, {era, event.version}, std::nullopt};
+    RegistryChange change{event.key, event.version, std::nullopt};
     if (const auto *entry = valueOf<UpstreamEntry>(event))
         change.entry = *entry;
     return change;
 }
 
 /** \returns the upstreams among the objects, without malformed ones. */
-std::vector<RegistryEntry> entriesOf(std::span<const ViewEvent> events, std::uint64_t era)
+std::vector<RegistryEntry> entriesOf(std::span<const ViewEvent> events)
 {
     std::vector<RegistryEntry> entries;
     for (const ViewEvent &event : events) {
         if (const auto *entry = valueOf<UpstreamEntry>(event))
-            entries.push_back({*entry, {era, event.version}});
+            entries.push_back({*entry, event.version});
     }
     return entries;
 }
@@ -49,7 +49,7 @@
 ViewUpdate changesSince(std::span<const ViewItem> before, const ViewUpdate &complete, bool restored)
 {
     ViewUpdate changes{false, complete.revision, {}};
-    std::map<std::string_view, std::uint64_t> versions;
+    std::map<std::string_view, StoreRevision> versions;
     for (const ViewItem &item : before)
         versions.emplace(item.key, item.version);
     for (const ViewEvent &event : complete.events) {
@@ -61,7 +61,7 @@
             changes.events.push_back(event);
     }
     for (const auto &[key, version] : versions)
-        changes.events.push_back({std::string(key), complete.revision.number, std::nullopt});
+        changes.events.push_back({std::string(key), complete.revision, std::nullopt});
     return changes;
 }
 
@@ -118,17 +118,10 @@
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
     const bool restored = this->eras.onUpdate(ViewKind::Upstreams, update.revision);
     const RegistryOrigin origin = restored ? RegistryOrigin::Copy : RegistryOrigin::Current;
-    const std::uint64_t updateEra = update.revision.era;
-    if (update.complete) {
-        this->targets.directory.replaceAll(internal::entriesOf(update.events, updateEra), now,
-                                           origin);
-    } else {
-        std::vector<RegistryChange> changes;
-        changes.reserve(update.events.size());
-        for (const ViewEvent &event : update.events)
-            changes.push_back(internal::changeOf(event, updateEra));
-        this->targets.directory.update(changes, now, origin);
-    }
+    if (update.complete)
+        this->targets.directory.replaceAll(internal::entriesOf(update.events), now, origin);
+    else
+        this->applyChanges(update, origin);
     this->upstreamsKnown = true;
     this->upstreamsRevision = std::max(this->upstreamsRevision, update.revision);
     this->targets.steering.refreshColdBudgets();
@@ -136,6 +129,21 @@
     this->onChange();
 }
 
+void ViewFollower::applyChanges(const ViewUpdate &update, RegistryOrigin origin)
+{
+    std::vector<RegistryChange> changes;
+    changes.reserve(update.events.size());
+    for (const ViewEvent &event : update.events)
+        changes.push_back(internal::changeOf(event));
+    // Another instance also passes on what it has learnt before the store returned from a copy.
+    const auto copy = std::ranges::partition_point(changes, [&](const RegistryChange &change) {
+        return change.revision.era < update.revision.era;
+    });
+    const TimePoint now = this->scheduler.now();
+    this->targets.directory.update({changes.begin(), copy}, now);
+    this->targets.directory.update({copy, changes.end()}, now, origin);
+}
+
 void ViewFollower::onConfiguration(const ViewUpdate &update)
 {
     this->malformedObjects.report(ViewKind::Configurations, update);
@@ -152,7 +160,7 @@
         this->targets.steering.refreshColdBudgets();
         this->log.info("configuration_in_force", {{"version", this->targets.routes.version()},
                                                   {"before", versionBefore},
-                                                  {"revision", event.version},
+                                                  {"revision", event.version.number},
                                                   {"routes", this->targets.routes.size()}});
     }
     this->publish(ViewKind::Configurations, before, update, restored);
@@ -164,7 +172,7 @@
     this->malformedObjects.report(ViewKind::Evacuations, update);
     const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
     const bool restored = this->eras.onUpdate(ViewKind::Evacuations, update.revision);
-    std::map<std::string, std::uint64_t> next;
+    std::map<std::string, StoreRevision> next;
     if (!update.complete)
         next = this->evacuated;
     for (const ViewEvent &event : update.events) {
@@ -207,8 +215,7 @@
     for (const ViewEvent &event : update.events) {
         this->members.erase(event.key);
         if (const auto *member = internal::valueOf<Member>(event))
-            this->members.emplace(event.key,
-                                  MemberEntry{*member, {update.revision.era, event.version}});
+            this->members.emplace(event.key, MemberEntry{*member, event.version});
     }
     std::vector<Member> all;
     for (const auto &[name, entry] : this->members)
@@ -271,7 +278,7 @@
     std::vector<RegistryChange> changes;
     for (const ViewItem &item : list.objects) {
         if (const auto *entry = std::get_if<UpstreamEntry>(&item.value))
-            changes.push_back({item.key, {list.revision.era, item.version}, *entry});
+            changes.push_back({item.key, item.version, *entry});
     }
     const bool grace = this->scheduler.now() < this->targets.directory.graceEnd();
     this->targets.directory.update(changes, this->scheduler.now(),
@@ -286,7 +293,7 @@
     case ViewKind::Upstreams:
         for (UpstreamIndex index = 0; index < this->targets.directory.size(); ++index) {
             if (const auto listed = this->targets.directory.listedEntry(index))
-                items.push_back({listed->entry.name, listed->revision.number, listed->entry});
+                items.push_back({listed->entry.name, listed->revision, listed->entry});
         }
         break;
     case ViewKind::Configurations:
@@ -299,7 +306,7 @@
         break;
     case ViewKind::Members:
         for (const auto &[name, entry] : this->members)
-            items.push_back({name, entry.revision.number, entry.member});
+            items.push_back({name, entry.revision, entry.member});
         break;
     }
     return items;
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -64,6 +64,10 @@
 
 private:
     void onUpstreams(const ViewUpdate &update);
+
+    /** \brief Applies changes of upstreams.
+     * \param origin of those of the update's era */
+    void applyChanges(const ViewUpdate &update, RegistryOrigin origin);
     void onConfiguration(const ViewUpdate &update);
     void onEvacuations(const ViewUpdate &update);
     void onMembers(const ViewUpdate &update);
@@ -92,7 +96,7 @@
     ViewWatch memberWatch;
     MemberEntries members;
     std::optional<ViewItem> configuration;          //!< Configuration in force.
-    std::map<std::string, std::uint64_t> evacuated; //!< Store revisions of evacuated domains.
+    std::map<std::string, StoreRevision> evacuated; //!< Store revisions of evacuated domains.
     TimePoint lastVerificationAt{};
     bool verificationFailed = false;
     StoreRevision upstreamsRevision; //!< Store revision up to which upstreams are known.
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -555,7 +555,8 @@
     VT_TEXTS = 10,
     VT_UPSTREAMS = 12,
     VT_MEMBERS = 14,
-    VT_CONFIGURATIONS = 16
+    VT_CONFIGURATIONS = 16,
+    VT_ERAS = 18
   };
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NAMES);
@@ -578,6 +579,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>> *configurations() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>> *>(VT_CONFIGURATIONS);
   }
+  const flatbuffers::Vector<uint64_t> *eras() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_ERAS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAMES) &&
@@ -597,6 +601,8 @@
            VerifyOffset(verifier, VT_CONFIGURATIONS) &&
            verifier.VerifyVector(configurations()) &&
            verifier.VerifyVectorOfTables(configurations()) &&
+           VerifyOffset(verifier, VT_ERAS) &&
+           verifier.VerifyVector(eras()) &&
            verifier.EndTable();
   }
 };
@@ -626,6 +632,9 @@
   void add_configurations(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>>> configurations) {
     fbb_.AddOffset(Objects::VT_CONFIGURATIONS, configurations);
   }
+  void add_eras(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras) {
+    fbb_.AddOffset(Objects::VT_ERAS, eras);
+  }
   explicit ObjectsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -645,8 +654,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> texts = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::UpstreamNumbers *>> upstreams = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::MemberNumbers *>> members = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>>> configurations = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>>> configurations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> eras = 0) {
   ObjectsBuilder builder_(_fbb);
+  builder_.add_eras(eras);
   builder_.add_configurations(configurations);
   builder_.add_members(members);
   builder_.add_upstreams(upstreams);
@@ -665,7 +676,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *texts = nullptr,
     const std::vector<bulrushgap::viewwire::UpstreamNumbers> *upstreams = nullptr,
     const std::vector<bulrushgap::viewwire::MemberNumbers> *members = nullptr,
-    const std::vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>> *configurations = nullptr) {
+    const std::vector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>> *configurations = nullptr,
+    const std::vector<uint64_t> *eras = nullptr) {
   auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*names) : 0;
   auto revisions__ = revisions ? _fbb.CreateVector<uint64_t>(*revisions) : 0;
   auto removed__ = removed ? _fbb.CreateVector<uint8_t>(*removed) : 0;
@@ -673,6 +685,7 @@
   auto upstreams__ = upstreams ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::UpstreamNumbers>(*upstreams) : 0;
   auto members__ = members ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::MemberNumbers>(*members) : 0;
   auto configurations__ = configurations ? _fbb.CreateVector<flatbuffers::Offset<bulrushgap::viewwire::Configuration>>(*configurations) : 0;
+  auto eras__ = eras ? _fbb.CreateVector<uint64_t>(*eras) : 0;
   return bulrushgap::viewwire::CreateObjects(
       _fbb,
       names__,
@@ -681,7 +694,8 @@
       texts__,
       upstreams__,
       members__,
-      configurations__);
+      configurations__,
+      eras__);
 }
 
 struct Request FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/PlatformClient.cpp
+++ b/tests/PlatformClient.cpp
@@ -256,7 +256,7 @@
         scheduler, store, random, "a",
         [&](const WatchUpdate &update) {
             for (const WatchEvent &event : update.events)
-                applied.push_back(event.version);
+                applied.push_back(event.version.number);
         },
         {}, WatchRetry{std::chrono::milliseconds(1), std::chrono::milliseconds(1), {}});
     watch.start();
--- a/tests/ViewCodec.cpp
+++ b/tests/ViewCodec.cpp
@@ -81,26 +81,31 @@
 
 } // namespace
 
-// Guards against a field that is encoded and decoded differently.
+// Guards against a field that is encoded and decoded differently, and against a revision that gets
+// the era of its message.
 TEST_CASE("objects of each kind are equal after encoding and decoding", "[ViewCodec]")
 {
     const ViewKind kind = anyKind();
+    const std::uint64_t earlierEra = GENERATE(2, 3);
     const StoreRevision revision{3, 77};
-    const ViewList list{PlatformResult::Ok, revision, {{"i-7f3a91c2aa", 70, sampleOf(kind)}}};
+    const ViewList list{PlatformResult::Ok, revision, {{"i-7f3a91c2aa", {3, 70}, sampleOf(kind)}}};
     const auto decodedList = decodeList(kind, encodeList(kind, list));
     REQUIRE(decodedList);
     CHECK(decodedList->revision == revision);
     REQUIRE(decodedList->objects.size() == 1);
-    CHECK(decodedList->objects[0].version == 70);
+    CHECK(decodedList->objects[0].version == list.objects[0].version);
     CHECK(same(decodedList->objects[0].value, list.objects[0].value));
 
-    const ViewEvents events{PlatformResult::Ok,
-                            {3, 80},
-                            {{"i-7f3a91c2aa", 78, sampleOf(kind)}, {"gone", 79, std::nullopt}}};
+    const ViewEvents events{
+        PlatformResult::Ok,
+        {3, 80},
+        {{"i-7f3a91c2aa", {earlierEra, 78}, sampleOf(kind)}, {"gone", {3, 79}, std::nullopt}}};
     const auto decoded = decodeEvents(kind, encodeEvents(kind, events));
     REQUIRE(decoded);
     CHECK(decoded->revision == events.revision);
     REQUIRE(decoded->events.size() == 2);
+    CHECK(decoded->events[0].version == events.events[0].version);
+    CHECK(decoded->events[1].version == events.events[1].version);
     CHECK(same(*decoded->events[0].value, *events.events[0].value));
     CHECK(decoded->events[1].key == "gone");
     CHECK_FALSE(decoded->events[1].value);
--- a/tests/ViewFollower.cpp
+++ b/tests/ViewFollower.cpp
@@ -72,9 +72,10 @@
                       WriteHandler /*handler*/) override
     {}
 
-    void add(ViewKind kind, const ViewEvent &event, std::uint64_t era = 0)
+    /** \brief Answers the watch of a kind with changes up to the last one. */
+    void add(ViewKind kind, const std::vector<ViewEvent> &changes)
     {
-        this->events[kind].push_back({PlatformResult::Ok, {era, event.version}, {event}, {}});
+        this->events[kind].push_back({PlatformResult::Ok, changes.back().version, changes, {}});
         this->answer(kind);
     }
 
@@ -125,11 +126,16 @@
     }
 
     /** \brief Adds an event and waits until it has been applied. */
-    void apply(ViewKind kind, const std::string &name, std::uint64_t revision,
+    void apply(ViewKind kind, const std::string &name, StoreRevision revision,
                std::optional<ViewObject> value)
+    {
+        this->apply(kind, {{name, revision, std::move(value)}});
+    }
+
+    void apply(ViewKind kind, const std::vector<ViewEvent> &events)
     {
         const int before = this->changes;
-        this->source.add(kind, {name, revision, std::move(value)});
+        this->source.add(kind, events);
         REQUIRE(runUntil(this->context, [&] { return this->changes > before; }));
     }
 
@@ -256,7 +262,7 @@
     // Revision 2 of the copy is another change than the one known.
     UpstreamEntry changed = std::get<UpstreamEntry>(upstream("i-7"));
     changed.slots = 5;
-    view.restore(ViewKind::Upstreams, {1, revision}, {{"i-7", 2, changed}});
+    view.restore(ViewKind::Upstreams, {1, revision}, {{"i-7", {1, 2}, changed}});
     CHECK(view.directory.at(0).entry.slots == 5);
     CHECK(view.counters.value("store_restored") == 1);
     CHECK(view.follower.storeEra() == 1);
@@ -273,13 +279,53 @@
     CHECK(view.counters.value("store_restored") == 1);
 }
 
+// Guards against an instance that asks its source again after the store's return from a copy, takes
+// a change that the store has lost for one of the new era, and ignores what follows about it.
+TEST_CASE("a change that is passed on keeps its era", "[ViewFollower]")
+{
+    UpstreamEntry draining = std::get<UpstreamEntry>(upstream("i-8"));
+    draining.state = UpstreamState::Draining;
+    const auto later = GENERATE_COPY(values<std::optional<ViewObject>>({draining, std::nullopt}));
+    const bool drains = later.has_value();
+    const bool atOnce = GENERATE(false, true);
+    ViewFixture view;
+    view.start();
+    std::vector<ViewEvent> events{{"i-8", {0, 30}, upstream("i-8")}, // Lost.
+                                  {"i-7", {1, 2}, upstream("i-7")},
+                                  {"i-8", {1, 6}, upstream("i-8")}};
+    if (atOnce)
+        events.push_back({"i-8", {1, 8}, later});
+    view.apply(ViewKind::Upstreams, events);
+    CHECK(view.counters.value("store_restored") == 1);
+    if (!atOnce)
+        view.apply(ViewKind::Upstreams, "i-8", {1, 8}, later);
+    const UpstreamIndex index = 1;
+    REQUIRE(view.directory.at(index).entry.name == "i-8");
+    CHECK(view.directory.at(index).registered == drains);
+    CHECK((view.directory.at(index).entry.state == UpstreamState::Draining) == drains);
+    const auto items = view.follower.snapshot(ViewKind::Upstreams);
+    REQUIRE(items.size() == (drains ? 2 : 1));
+    CHECK(items.back().version == (drains ? StoreRevision{1, 8} : StoreRevision{1, 2}));
+}
+
+// Guards against a drain that was read before the store's return, and is undone by its copy.
+TEST_CASE("a copy does not undo a drain of the era before", "[ViewFollower]")
+{
+    ViewFixture view;
+    view.start();
+    UpstreamEntry draining = std::get<UpstreamEntry>(upstream("i-7"));
+    draining.state = UpstreamState::Draining;
+    view.apply(ViewKind::Upstreams, {{"i-7", {0, 30}, draining}, {"i-7", {1, 2}, upstream("i-7")}});
+    CHECK(view.directory.candidates("s").empty());
+}
+
 // Guards against an older configuration of the copy that takes over.
 TEST_CASE("the configuration of a copy does not replace a later one", "[ViewFollower]")
 {
     ViewFixture view;
     view.start();
     view.apply(ViewKind::Configurations, "main", 5, configuration(8));
-    view.restore(ViewKind::Configurations, {1, 4}, {{"main", 1, configuration(7)}});
+    view.restore(ViewKind::Configurations, {1, 4}, {{"main", {1, 1}, configuration(7)}});
     CHECK(view.routes.version() == 8);
     const auto items = view.follower.snapshot(ViewKind::Configurations);
     REQUIRE(items.size() == 1);
@@ -297,7 +343,7 @@
     view.restore(ViewKind::Evacuations, {1, 3}, {});
     CHECK(view.directory.isEvacuated("b"));
     if (writtenAgain)
-        view.source.add(ViewKind::Evacuations, {"b", 5, Evacuation{}}, 1);
+        view.source.add(ViewKind::Evacuations, {{"b", {1, 5}, Evacuation{}}});
     const auto graceEnd = view.directory.graceEnd() + std::chrono::milliseconds(50);
     REQUIRE(runUntil(view.context, [&] { return view.scheduler.now() > graceEnd; }));
     CHECK(view.directory.isEvacuated("b") == writtenAgain);
