A difference of two lists leads on from what was passed on

After the store dropped its history, readers of an instance could keep an upstream as ready that drains, or one that has left, for good.

Cause: the difference between the new list and the instance's view was passed on to readers of any revision. But the view may hold changes that a direct read of the registry told and no reader got, and a reader may be ahead, through another source, of an object that has gone in between.

Change: the difference has all changes since the revision that was passed on, and a reader between that revision and the new one is told to list again.

Failed before, with the former comparison in the new code: "a change that only a read of the registry told is passed on" (no event), "a reader that was ahead lists again after a difference" (2 of 5 rows, Ok instead of Gone).

--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -77,7 +77,7 @@
         respond(internal::emptyEvents(PlatformResult::Busy));
         return;
     }
-    if (since < state.historyStart) {
+    if (isGone(state, since)) {
         respond(internal::emptyEvents(PlatformResult::Gone));
         return;
     }
@@ -133,6 +133,7 @@
     if (update.complete) {
         // Pending watches from an older revision have to list again.
         state.history.clear();
+        state.differences.clear();
         state.historyStart = update.revision;
     } else {
         for (const ViewEvent &event : update.events)
@@ -142,6 +143,24 @@
     this->answerPendingWatches(state);
 }
 
+void ObjectMirror::applyDifference(ViewKind kind, const ViewUpdate &changes)
+{
+    KindState &state = this->stateOf(kind);
+    std::erase_if(state.differences, [&](const Difference &difference) {
+        return difference.revision <= state.historyStart;
+    });
+    state.differences.push_back({state.revision, changes.revision});
+    this->apply(kind, changes);
+}
+
+bool ObjectMirror::isGone(const KindState &state, StoreRevision since)
+{
+    return since < state.historyStart
+           || std::ranges::any_of(state.differences, [since](const Difference &difference) {
+                  return difference.base < since && since < difference.revision;
+              });
+}
+
 void ObjectMirror::appendChange(KindState &state, const ViewEvent &event, StoreRevision revision)
 {
     state.history.push_back({revision, event});
@@ -155,7 +174,7 @@
 {
     const auto pending = std::exchange(state.pending, {});
     for (const PendingWatchPtr &watch : pending) {
-        const bool gone = watch->since < state.historyStart;
+        const bool gone = isGone(state, watch->since);
         const bool changed = !state.history.empty() && state.history.back().revision > watch->since;
         if (!gone && !changed) {
             state.pending.push_back(watch);
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -56,6 +56,19 @@
      */
     void apply(ViewKind kind, const ViewUpdate &update);
 
+    /** \brief Like apply, with changes that were found by comparison with the view at revision().
+     *
+     * Readers that were ahead of it, through another source, have to list the objects: they may
+     * know one that has come and gone between the two.
+     */
+    void applyDifference(ViewKind kind, const ViewUpdate &changes);
+
+    /** \returns the revision up to which updates of \a kind have been applied. */
+    [[nodiscard]] StoreRevision revision(ViewKind kind) const
+    {
+        return this->states.at(static_cast<std::size_t>(kind)).revision;
+    }
+
     /** \brief Replies with Busy to pending watches that require a view from the store. */
     void refusePendingDirect();
 
@@ -77,6 +90,13 @@
         ViewEvent event;
     };
 
+    /** \brief Changes from \c base to \c revision that say nothing of revisions between the two. */
+    struct Difference
+    {
+        StoreRevision base;
+        StoreRevision revision;
+    };
+
     struct PendingWatch
     {
         ViewRequest request;
@@ -101,6 +121,7 @@
         StoreRevision revision;
         StoreRevision historyStart; //!< Changes after this revision are in the history.
         std::deque<Change> history;
+        std::vector<Difference> differences; //!< In the history.
         std::list<PendingWatchPtr> pending;
         std::list<PendingListPtr> pendingLists;
         ListPtr cachedList;     //!< Reply for the current revision, or null.
@@ -117,6 +138,9 @@
     void answerPendingLists(KindState &state);
     void answerPendingWatches(KindState &state);
     void onWaitExpired(KindState &state, const PendingWatchPtr &pending);
+
+    /** \returns whether the history does not lead from \a since to the current revision. */
+    [[nodiscard]] static bool isGone(const KindState &state, StoreRevision since);
     [[nodiscard]] static EventsPtr changesSince(KindState &state, StoreRevision since);
 
     const Scheduler &scheduler;
--- a/src/view/ViewFollower.cpp
+++ b/src/view/ViewFollower.cpp
@@ -43,25 +43,21 @@
     return entries;
 }
 
-/** \returns the changes that lead from \a before to the objects of a complete update, so that
- * readers of this instance need not list all objects again.
- * \param restored whether \a before is of an earlier era, so that equal revisions tell nothing */
-ViewUpdate changesSince(std::span<const ViewItem> before, const ViewUpdate &complete, bool restored)
+/** \returns the changes that lead readers who know all up to \a base to the objects of a complete
+ * update, so that they need not list all objects again.
+ * \param before names of the objects that they may know */
+ViewUpdate changesSince(std::set<std::string> before, StoreRevision base,
+                        const ViewUpdate &complete)
 {
     ViewUpdate changes{false, complete.revision, {}};
-    std::map<std::string_view, StoreRevision> versions;
-    for (const ViewItem &item : before)
-        versions.emplace(item.key, item.version);
     for (const ViewEvent &event : complete.events) {
-        const auto known = versions.find(event.key);
-        const bool same = !restored && known != versions.end() && known->second == event.version;
-        if (known != versions.end())
-            versions.erase(known);
-        if (!same)
+        const bool known = before.erase(event.key) > 0;
+        // A read of the registry may have told this instance of a change that it has not passed on.
+        if (!known || event.version > base)
             changes.events.push_back(event);
     }
-    for (const auto &[key, version] : versions)
-        changes.events.push_back({std::string(key), complete.revision, std::nullopt});
+    for (const std::string &key : before)
+        changes.events.push_back({key, complete.revision, std::nullopt});
     return changes;
 }
 
@@ -115,7 +111,7 @@
 {
     this->malformedObjects.report(ViewKind::Upstreams, update);
     const TimePoint now = this->scheduler.now();
-    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Upstreams);
+    std::set<std::string> before = this->namesBefore(update, ViewKind::Upstreams);
     const bool restored = this->eras.onUpdate(ViewKind::Upstreams, update.revision);
     const RegistryOrigin origin = restored ? RegistryOrigin::Copy : RegistryOrigin::Current;
     if (update.complete)
@@ -125,7 +121,7 @@
     this->upstreamsKnown = true;
     this->upstreamsRevision = std::max(this->upstreamsRevision, update.revision);
     this->targets.steering.refreshColdBudgets();
-    this->publish(ViewKind::Upstreams, before, update, restored);
+    this->publish(ViewKind::Upstreams, std::move(before), update);
     this->onChange();
 }
 
@@ -147,8 +143,8 @@
 void ViewFollower::onConfiguration(const ViewUpdate &update)
 {
     this->malformedObjects.report(ViewKind::Configurations, update);
-    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Configurations);
-    const bool restored = this->eras.onUpdate(ViewKind::Configurations, update.revision);
+    std::set<std::string> before = this->namesBefore(update, ViewKind::Configurations);
+    static_cast<void>(this->eras.onUpdate(ViewKind::Configurations, update.revision));
     for (const ViewEvent &event : update.events) {
         const auto *next = internal::valueOf<ConfigurationPtr>(event);
         if (next == nullptr)
@@ -163,14 +159,14 @@
                                                   {"revision", event.version.number},
                                                   {"routes", this->targets.routes.size()}});
     }
-    this->publish(ViewKind::Configurations, before, update, restored);
+    this->publish(ViewKind::Configurations, std::move(before), update);
     this->onChange();
 }
 
 void ViewFollower::onEvacuations(const ViewUpdate &update)
 {
     this->malformedObjects.report(ViewKind::Evacuations, update);
-    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Evacuations);
+    std::set<std::string> before = this->namesBefore(update, ViewKind::Evacuations);
     const bool restored = this->eras.onUpdate(ViewKind::Evacuations, update.revision);
     std::map<std::string, StoreRevision> next;
     if (!update.complete)
@@ -201,15 +197,15 @@
             this->applyEvacuation(domain, true);
     }
     this->evacuationsKnown = true;
-    this->publish(ViewKind::Evacuations, before, update, restored);
+    this->publish(ViewKind::Evacuations, std::move(before), update);
     this->onChange();
 }
 
 void ViewFollower::onMembers(const ViewUpdate &update)
 {
     this->malformedObjects.report(ViewKind::Members, update);
-    const std::vector<ViewItem> before = this->itemsBefore(update, ViewKind::Members);
-    const bool restored = this->eras.onUpdate(ViewKind::Members, update.revision);
+    std::set<std::string> before = this->namesBefore(update, ViewKind::Members);
+    static_cast<void>(this->eras.onUpdate(ViewKind::Members, update.revision));
     if (update.complete)
         this->members.clear();
     for (const ViewEvent &event : update.events) {
@@ -229,22 +225,29 @@
         this->upstreamWatch.start();
         this->evacuationWatch.start();
     }
-    this->publish(ViewKind::Members, before, update, restored);
+    this->publish(ViewKind::Members, std::move(before), update);
     this->onChange();
 }
 
-std::vector<ViewItem> ViewFollower::itemsBefore(const ViewUpdate &update, ViewKind kind) const
+std::set<std::string> ViewFollower::namesBefore(const ViewUpdate &update, ViewKind kind) const
 {
-    return update.complete ? this->snapshot(kind) : std::vector<ViewItem>();
+    std::set<std::string> names;
+    if (!update.complete)
+        return names;
+    for (ViewItem &item : this->snapshot(kind))
+        names.insert(std::move(item.key));
+    return names;
 }
 
-void ViewFollower::publish(ViewKind kind, std::span<const ViewItem> before,
-                           const ViewUpdate &update, bool restored)
+void ViewFollower::publish(ViewKind kind, std::set<std::string> before, const ViewUpdate &update)
 {
-    if (update.complete && this->targets.mirror.isLoaded(kind))
-        this->targets.mirror.apply(kind, internal::changesSince(before, update, restored));
-    else
-        this->targets.mirror.apply(kind, update);
+    ObjectMirror &mirror = this->targets.mirror;
+    if (!update.complete || !mirror.isLoaded(kind)) {
+        mirror.apply(kind, update);
+        return;
+    }
+    const StoreRevision base = mirror.revision(kind);
+    mirror.applyDifference(kind, internal::changesSince(std::move(before), base, update));
 }
 
 void ViewFollower::verifyUpstreams(ObjectSource &registry)
--- a/src/view/ViewFollower.h
+++ b/src/view/ViewFollower.h
@@ -71,12 +71,12 @@
     void onConfiguration(const ViewUpdate &update);
     void onEvacuations(const ViewUpdate &update);
     void onMembers(const ViewUpdate &update);
-    /** \returns the objects of a kind if \a update replaces them, otherwise nothing. */
-    [[nodiscard]] std::vector<ViewItem> itemsBefore(const ViewUpdate &update, ViewKind kind) const;
+    /** \returns the names of all objects of a kind if \a update replaces them, otherwise none. */
+    [[nodiscard]] std::set<std::string> namesBefore(const ViewUpdate &update, ViewKind kind) const;
 
-    /** \brief Passes an update on to the instances that read from this one. */
-    void publish(ViewKind kind, std::span<const ViewItem> before, const ViewUpdate &update,
-                 bool restored);
+    /** \brief Passes an update on to the instances that read from this one.
+     * \param before names of the objects before a complete update */
+    void publish(ViewKind kind, std::set<std::string> before, const ViewUpdate &update);
     void onReachable(ViewKind kind, bool reachable);
     void applyVerification(const ViewList &list, TimePoint startedAt);
     void onHeldEvacuationsEnded(const std::set<std::string> &domains);
--- a/tests/ViewFollower.cpp
+++ b/tests/ViewFollower.cpp
@@ -319,6 +319,54 @@
     CHECK(view.directory.candidates("s").empty());
 }
 
+// Guards against readers that miss a change which this instance knew from a read of the registry,
+// before the store dropped its history and the watch had told of it.
+TEST_CASE("a change that only a read of the registry told is passed on", "[ViewFollower]")
+{
+    ViewFixture view;
+    view.start();
+    UpstreamEntry draining = std::get<UpstreamEntry>(upstream("i-7"));
+    draining.state = UpstreamState::Draining;
+    const std::vector<ViewItem> objects{{"i-7", 6, draining}};
+    view.source.lists[ViewKind::Upstreams] = {PlatformResult::Ok, 6, objects, {}};
+    view.follower.verifyUpstreams(view.source);
+    REQUIRE(runUntil(view.context, [&] { return view.directory.candidates("s").empty(); }));
+    view.restore(ViewKind::Upstreams, 8, objects);
+    const ViewEvents changes = view.changesSince(ViewKind::Upstreams, 4);
+    CHECK(changes.revision == 8);
+    REQUIRE(changes.events.size() == 1);
+    REQUIRE(changes.events[0].value);
+    CHECK(std::get<UpstreamEntry>(*changes.events[0].value).state == UpstreamState::Draining);
+}
+
+// Guards against a reader that keeps an object for ever which it learnt of at another source, and
+// which this instance never knew: the difference of two lists does not tell that it has gone.
+TEST_CASE("a reader that was ahead lists again after a difference", "[ViewFollower]")
+{
+    struct Case
+    {
+        StoreRevision since;
+        StoreRevision listed;
+        PlatformResult result;
+    };
+    const auto each = GENERATE(values<Case>({
+        {3, 9, PlatformResult::Gone},
+        {4, 9, PlatformResult::Ok},
+        {7, 9, PlatformResult::Gone},
+        {4, {1, 2}, PlatformResult::Ok},
+        {7, {1, 2}, PlatformResult::Gone},
+    }));
+    CAPTURE(each.since.number, each.listed.era);
+    ViewFixture view;
+    view.start();
+    std::optional<PlatformResult> pending;
+    view.mirror.watch({ViewKind::Upstreams, each.since, std::chrono::seconds(20), false},
+                      [&](const ObjectMirror::EventsPtr &events) { pending = events->result; });
+    view.restore(ViewKind::Upstreams, each.listed, {{"i-7", each.listed, upstream("i-7")}});
+    CHECK(view.changesSince(ViewKind::Upstreams, each.since).result == each.result);
+    CHECK((pending == PlatformResult::Gone) == (each.result == PlatformResult::Gone));
+}
+
 // Guards against an older configuration of the copy that takes over.
 TEST_CASE("the configuration of a copy does not replace a later one", "[ViewFollower]")
 {
