--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -187,19 +187,19 @@
     this->sources.retryPreferred(this->scheduler.now());
     const auto source = this->sources.current();
     const auto watch
-        = std::make_shared<PendingWatch>(PendingWatch{kind, std::move(handler), source});
+        = std::make_shared<PendingWatch>(PendingWatch{kind, since, std::move(handler), source});
     this->pending.push_back(watch);
     if (this->probePending && this->probeSource == source) {
-        this->deferred.push_back({watch, since});
+        this->deferred.push_back(watch);
         return;
     }
     // After a failure, a single watch probes the source before the others are sent.
     this->probePending = !this->verified;
     this->probeSource = source;
-    this->send(watch, since, this->probePending);
+    this->send(watch, this->probePending);
 }
 
-void SourcedStore::send(const PendingWatchPtr &watch, StoreRevision since, bool probe)
+void SourcedStore::send(const PendingWatchPtr &watch, bool probe)
 {
     const auto onAnswer = [this, watch, probe](ViewEvents outcome) {
         if (std::exchange(watch->done, true))
@@ -218,7 +218,7 @@
     };
     const auto wait = probe ? internal::probeWait : this->waitFor(watch->kind, watch->source);
     this->noteConfigurationAsked(watch->source, watch->kind, wait);
-    this->clientFor(watch->source).watchFor(watch->kind, since, wait, onAnswer);
+    this->clientFor(watch->source).watchFor(watch->kind, watch->since, wait, onAnswer);
 }
 
 void SourcedStore::endProbe(const ViewSource &source, bool answered)
@@ -226,16 +226,16 @@
     if (!this->probePending || this->probeSource != source)
         return;
     this->probePending = false;
-    for (const DeferredWatch &watch : std::exchange(this->deferred, {})) {
-        if (watch.watch->done)
+    for (const PendingWatchPtr &watch : std::exchange(this->deferred, {})) {
+        if (watch->done)
             continue;
         if (answered) {
-            this->send(watch.watch, watch.since, false);
+            this->send(watch, false);
             continue;
         }
-        watch.watch->done = true;
-        this->pending.remove(watch.watch);
-        watch.watch->handler(ViewEvents{});
+        watch->done = true;
+        this->pending.remove(watch);
+        watch->handler(ViewEvents{});
     }
 }
 
@@ -303,11 +303,36 @@
 {
     this->direct = source.isStore();
     this->verified = true;
+    const bool changed = this->answeredSource != source;
     this->noteFreshness(source, freshness);
+    if (changed)
+        this->moveWatchesTo(source);
     if (this->isFresh())
         this->busySince.reset();
 }
 
+void SourcedStore::moveWatchesTo(const ViewSource &source)
+{
+    std::list<PendingWatchPtr> moved;
+    std::set<ViewSource> left;
+    for (const PendingWatchPtr &watch : this->pending) {
+        if (watch->source == source || this->isArriving(watch->source))
+            continue;
+        moved.push_back(watch);
+        left.insert(watch->source);
+    }
+    for (const ViewSource &former : left)
+        this->clientFor(former).dropWatches();
+    for (const PendingWatchPtr &watch : moved) {
+        watch->done = true;
+        this->pending.remove(watch);
+        const auto next = std::make_shared<PendingWatch>(
+            PendingWatch{watch->kind, watch->since, std::move(watch->handler), source});
+        this->pending.push_back(next);
+        this->send(next, false);
+    }
+}
+
 void SourcedStore::noteSourceLost()
 {
     if (std::exchange(this->verified, false)) {
--- a/src/view/SourcedStore.h
+++ b/src/view/SourcedStore.h
@@ -69,19 +69,13 @@
     struct PendingWatch
     {
         ViewKind kind;
+        StoreRevision since;
         WatchHandler handler;
         ViewSource source;
         bool done = false;
     };
     using PendingWatchPtr = std::shared_ptr<PendingWatch>;
 
-    /** \brief A watch that is sent once the pending probe of its source has succeeded. */
-    struct DeferredWatch
-    {
-        PendingWatchPtr watch;
-        StoreRevision since;
-    };
-
     [[nodiscard]] ObjectSource &clientFor(const ViewSource &source);
 
     /** \returns whether bytes of an incomplete answer of the source have come just now. */
@@ -101,7 +95,14 @@
     void onStartList(const ViewSource &source, ViewList outcome, const ListHandler &onList);
     void onStartAnswer(const ViewSource &source, const ReplyFreshness &freshness);
     void noteFreshness(const ViewSource &source, const ReplyFreshness &freshness);
-    void send(const PendingWatchPtr &watch, StoreRevision since, bool probe);
+    void send(const PendingWatchPtr &watch, bool probe);
+
+    /** \brief Sends the watches that wait at other sources to this one, which has just answered.
+     *
+     * A former source may read from this instance itself: if the watch of one kind stays there, and
+     * the other instance's comes here, neither learns of a change until one of them times out.
+     */
+    void moveWatchesTo(const ViewSource &source);
     void endProbe(const ViewSource &source, bool answered);
     [[nodiscard]] std::chrono::milliseconds waitFor(ViewKind kind, const ViewSource &source) const;
     void failPending(const ViewSource &source);
@@ -122,7 +123,7 @@
     SourcedStoreHooks hooks;
     std::map<ViewSource, std::unique_ptr<ObjectSource>> peers;
     std::list<PendingWatchPtr> pending;
-    std::list<DeferredWatch> deferred;
+    std::list<PendingWatchPtr> deferred; //!< Sent once the probe of their source has succeeded.
     std::set<ViewKind> confirmed; //!< Kinds for which the current source has answered a watch.
     /** First Busy reply of an instance without a source since the last answer or failed call to the
      * store. */
--- a/tests/SourceChange.cpp
+++ b/tests/SourceChange.cpp
@@ -164,6 +164,36 @@
     CHECK(reader.sources.followsStore() == arriving);
 }
 
+// Guards against two instances that wait for each other for 3 s, the whole of drain_ms of a small
+// site: one goes back to the store while its watch of the registry stays at the other, and that one
+// goes back to it.
+TEST_CASE("all watches follow to a source that has answered", "[SourceChange]")
+{
+    const bool arriving = GENERATE(false, true);
+    Reader reader;
+    reader.sources.onSourceFailed(reader.loop.now());
+    for (const ViewKind kind : {ViewKind::Upstreams, ViewKind::Configurations}) {
+        reader.watch(kind);
+        reader.storeState.answer(kind);
+    }
+    reader.loop.runFor(5'900ms);
+    reader.watch(ViewKind::Upstreams);
+    reader.loop.runFor(200ms);
+    REQUIRE(reader.storeState.watches[ViewKind::Upstreams].size() == 1);
+    if (arriving)
+        reader.storeState.arrivingUntil = reader.loop.now();
+    reader.watch(ViewKind::Configurations);
+    REQUIRE_FALSE(reader.sources.followsStore());
+    CHECK(reader.preferredState.watches[ViewKind::Upstreams].empty());
+    reader.preferredState.answer(ViewKind::Configurations);
+    CHECK(reader.preferredState.watches[ViewKind::Upstreams].size() == (arriving ? 0 : 1));
+    CHECK(reader.storeState.watches[ViewKind::Upstreams].size() == (arriving ? 1 : 0));
+    CHECK(reader.outcomes[ViewKind::Upstreams].size() == 1);
+    ScriptedPeer &asked = arriving ? reader.storeState : reader.preferredState;
+    asked.answer(ViewKind::Upstreams);
+    CHECK(reader.outcomes[ViewKind::Upstreams].size() == 2);
+}
+
 // Guards against readers that trust the old configuration of an instance as current, since the
 // store goes on answering its watches of other kinds.
 TEST_CASE("a view ages while its configuration is late", "[SourceChange]")
