A watch does not receive more than a list of its objects would take

Cause: a watch returns every version since its revision, 25 MB here. That takes a link of 10 Mbit/s for 20 s, and above 16 MB the client refuses the answer and asks for the same again. Instances passed on all versions as well, and kept up to 256 of a configuration in memory.

Change: an answer to a watch of the store above 1.3 MB is given up by its header, and the objects are listed. Instances keep and pass on the last change of each object and era.

--- a/src/service/HttpClient.cpp
+++ b/src/service/HttpClient.cpp
@@ -252,7 +252,7 @@
 {
     pending->arrivedAt.reset();
     pending->parser.emplace();
-    pending->parser->body_limit(this->limits.bodyBytes);
+    pending->parser->body_limit(pending->call.maxBodyBytes.value_or(this->limits.bodyBytes));
     pending->parser->eager(true);
     this->readSome(pending);
 }
@@ -300,7 +300,8 @@
         return;
     }
     HttpOutcome outcome{failure, 0, {}, {}};
-    outcome.brokenOff = pending->arrivedAt.has_value();
+    outcome.tooLarge = error == http::error::body_limit;
+    outcome.brokenOff = pending->arrivedAt.has_value() && !outcome.tooLarge;
     this->finish(pending, std::move(outcome));
 }
 
--- a/src/service/HttpClient.h
+++ b/src/service/HttpClient.h
@@ -34,6 +34,10 @@
     /** If set, \a timeout ends when the answer begins to arrive; from then on the call fails after
      * this time without further bytes. Answers differ in size, and links in rate. */
     std::optional<std::chrono::milliseconds> idleTimeout = std::nullopt;
+
+    /** If set, the call fails at once if its answer is larger; otherwise the client's limit holds.
+     */
+    std::optional<std::size_t> maxBodyBytes = std::nullopt;
 };
 
 /** \brief Why a call has no response. */
@@ -51,6 +55,7 @@
     std::string etag;
     std::string header = {}; //!< Value of HttpCall::answerHeader; empty if there is none.
     bool brokenOff = false;  //!< The call failed although a part of its answer had arrived.
+    bool tooLarge = false;   //!< The call failed as its answer exceeds the limit.
 };
 
 struct HttpClientLimits
--- a/src/simulation/SimulatedStore.cpp
+++ b/src/simulation/SimulatedStore.cpp
@@ -1,5 +1,7 @@
 #include "simulation/SimulatedStore.h"
 
+#include "platform/StoreClient.h"
+
 #include <utility>
 
 namespace bulrushgap::simulation {
@@ -118,7 +120,8 @@
                     // A store that fell silent meanwhile lets the watch wait.
                     if (weak.expired() || this->isSilent())
                         return;
-                    if (events.revision.era > since.era)
+                    if (events.revision.era > since.era
+                        || internal::bytesOf(events) > platform::maxWatchAnswerBytes)
                         events = {PlatformResult::Gone, {}, {}};
                     this->surroundings.loop.after(this->serviceTime(), [respond, events] {
                         respond(events, internal::bytesOf(events));
--- a/src/view/ObjectMirror.cpp
+++ b/src/view/ObjectMirror.cpp
@@ -163,6 +163,11 @@
 
 void ObjectMirror::appendChange(KindState &state, const ViewEvent &event, StoreRevision revision)
 {
+    // Readers need the last change of an object only; many versions of a large one would fill links
+    // and memory. One of an earlier era may tell more than the copy with which the next one began.
+    std::erase_if(state.history, [&event](const Change &earlier) {
+        return earlier.event.key == event.key && earlier.event.version.era == event.version.era;
+    });
     state.history.push_back({revision, event});
     while (state.history.size() > internal::maxMirrorHistory) {
         state.historyStart = std::max(state.historyStart, state.history.front().revision);
--- a/src/view/ObjectMirror.h
+++ b/src/view/ObjectMirror.h
@@ -119,8 +119,8 @@
     {
         bool loaded = false;
         StoreRevision revision;
-        StoreRevision historyStart; //!< Changes after this revision are in the history.
-        std::deque<Change> history;
+        StoreRevision historyStart;          //!< Changes after this revision are in the history.
+        std::deque<Change> history;          //!< The last one of each object and era.
         std::vector<Difference> differences; //!< In the history.
         std::list<PendingWatchPtr> pending;
         std::list<PendingListPtr> pendingLists;
--- a/tests/SlowAnswers.cpp
+++ b/tests/SlowAnswers.cpp
@@ -176,13 +176,17 @@
 }
 
 // Guards against instances that keep an old configuration after a cut: on a link of 10 Mbit/s a
-// configuration of 1 MB takes longer than a watch of the store or of another instance waited.
+// configuration of 1 MB takes longer than a watch of the store or of another instance waited, and
+// the versions of a storm, all in one answer, take many seconds.
 TEST_CASE("a large configuration arrives over weak links after a cut", "[SlowAnswers]")
 {
     const auto seed = GENERATE(range(1U, 4U));
     const std::string cut = GENERATE(as<std::string>(), "domain-1", "domain-2");
-    const std::vector<PlannedFault> faults{{FaultKind::DomainCut, 3s, 2s, 1.0, cut},
-                                           {FaultKind::RouteMoved, 3'050ms, 20s}};
+    const bool storm = GENERATE(false, true);
+    std::vector<PlannedFault> faults{{FaultKind::DomainCut, 3s, 2s, 1.0, cut},
+                                     {FaultKind::RouteMoved, storm ? 4'800ms : 3'050ms, 20s}};
+    if (storm)
+        faults.push_back({FaultKind::ConfigurationStorm, 3'050ms, 1'500ms});
     INFO("seed " << seed << '\n' << faultLines(faults));
     const RunReport report = simulate(weakLinksAndLargeConfiguration(), faults, seed);
     INFO(report.toText());
--- a/tests/StoreClient.cpp
+++ b/tests/StoreClient.cpp
@@ -452,6 +452,22 @@
     CHECK(store.counters.value("store_write") == 0);
 }
 
+// Guards against an answer with many versions of a large configuration, which a weak link takes for
+// seconds, and which never fits after a storm of them.
+TEST_CASE("a watch whose answer is longer than a list ends as Gone", "[StoreClient]")
+{
+    const auto [bytes, result] = GENERATE(table<std::size_t, PlatformResult>({
+        {1'040'000, PlatformResult::Ok},
+        {1'310'000, PlatformResult::Gone},
+        {20'000'000, PlatformResult::Gone},
+    }));
+    ScriptedStore store(R"({"events":[],"as_of":9,"x":")" + std::string(bytes, 'x') + R"("})");
+    CHECK(store.watch(ViewKind::Configurations, 5).result == result);
+    CHECK(store.counters.value("store_answer_too_large")
+          == (result == PlatformResult::Gone ? 1 : 0));
+    CHECK(store.counters.value("store_answer_broken_off") == 0);
+}
+
 // Guards against a name that garbles the request for the next page, so that the list never ends.
 TEST_CASE("a list continues after any name", "[StoreClient]")
 {
--- a/tests/ViewFollower.cpp
+++ b/tests/ViewFollower.cpp
@@ -319,6 +319,33 @@
     CHECK(view.directory.candidates("s").empty());
 }
 
+// Guards against an answer with many versions of a large configuration, which a weak link takes for
+// seconds, and against a history that keeps them in memory. Eras are kept apart.
+TEST_CASE("readers get the last change of an object in each era", "[ViewFollower]")
+{
+    struct Case
+    {
+        std::vector<StoreRevision> changes;
+        std::vector<StoreRevision> passedOn;
+    };
+    const auto each = GENERATE(values<Case>({
+        {{5}, {5}},
+        {{5, 6, 7}, {7}},
+        {{5, 6, {1, 2}, {1, 3}}, {6, {1, 3}}},
+    }));
+    ViewFixture view;
+    view.start();
+    for (const StoreRevision &revision : each.changes)
+        view.apply(ViewKind::Configurations, "main", revision,
+                   configuration(10 * revision.era + revision.number));
+    const ViewEvents changes = view.changesSince(ViewKind::Configurations, 4);
+    CHECK(changes.revision == each.changes.back());
+    std::vector<StoreRevision> passedOn;
+    for (const ViewEvent &event : changes.events)
+        passedOn.push_back(event.version);
+    CHECK(passedOn == each.passedOn);
+}
+
 // Guards against readers that miss a change which this instance knew from a read of the registry,
 // before the store dropped its history and the watch had told of it.
 TEST_CASE("a change that only a read of the registry told is passed on", "[ViewFollower]")
