Compress long replies between instances

Ruled out: readers that fail.

Change: replies of 4 KB or more are compressed with Zstandard once for all readers, if the reader says that it accepts them, so that versions mix. libzstd-dev is a new dependency, linked statically on the users' platform.

[CongestedLinks] now has 2,000 upstreams a domain instead of 1,000: with shorter messages 1,000 congest no link for the 300 ms that the test asks for, so it would show nothing. Its checks and bounds are as they were.

--- a/cmake/PlatformOnly.cmake
+++ b/cmake/PlatformOnly.cmake
@@ -34,4 +34,5 @@
                     -Wl,-z,now -no-pie)
 set_target_properties(bulrushgap PROPERTIES POSITION_INDEPENDENT_CODE OFF)
 target_link_libraries(bulrushgap PRIVATE Boost::headers Boost::program_options Boost::json
-                                         Boost::url PkgConfig::flatbuffers xxhash)
+                                         Boost::url PkgConfig::flatbuffers xxhash
+                                         libzstd.a)
--- a/src/role/PeerViewServer.cpp
+++ b/src/role/PeerViewServer.cpp
@@ -3,6 +3,7 @@
 #include "ejection/OutcomeCodec.h"
 #include "role/ViewFrame.h"
 #include "service/FrameReader.h"
+#include "view/ReplyCompression.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <array>
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
@@ -23,34 +25,58 @@
 /** A request holds a kind, a revision and a wait, or at most 64 reports of 12 bytes. */
 constexpr std::size_t maxViewRequestBytes = 1'024;
 
+using BytesPtr = std::shared_ptr<const Bytes>;
+
 /** \brief Last encoded answer of a kind; cached because many instances request the same one. */
 template <typename Answer>
-struct EncodedAnswer
+class EncodedAnswer
 {
+public:
+    using Encode = std::function<Bytes(const Answer &answer)>;
+
+    BytesPtr of(const std::shared_ptr<const Answer> &next, bool compressed, const Encode &encode)
+    {
+        if (this->answer != next) {
+            this->answer = next;
+            this->plain = std::make_shared<const Bytes>(encode(*next));
+            this->packed.reset();
+        }
+        if (!compressed)
+            return this->plain;
+        if (!this->packed) {
+            auto bytes = balance::compressReply(*this->plain);
+            this->packed = bytes ? std::make_shared<const Bytes>(std::move(*bytes)) : this->plain;
+        }
+        return this->packed;
+    }
+
+private:
     std::shared_ptr<const Answer> answer;
-    std::shared_ptr<const Bytes> bytes;
+    BytesPtr plain;
+    BytesPtr packed; //!< Compressed unless it is short; null until a reader accepts it.
 };
 
 /** \brief Cache of encoded answers, shared by all connections. */
 class AnswerCache
 {
 public:
-    std::shared_ptr<const Bytes> encode(balance::ViewKind kind,
-                                        const balance::ObjectMirror::ListPtr &list)
+    BytesPtr encode(const balance::ViewRequest &request, const balance::ObjectMirror::ListPtr &list)
     {
-        auto &cached = this->lists.at(static_cast<std::size_t>(kind));
-        if (cached.answer != list)
-            cached = {list, std::make_shared<const Bytes>(balance::encodeList(kind, *list))};
-        return cached.bytes;
+        const auto encodeList = [&request](const balance::ViewList &answer) {
+            return balance::encodeList(request.kind, answer);
+        };
+        return this->lists.at(static_cast<std::size_t>(request.kind))
+            .of(list, request.acceptsCompressed, encodeList);
     }
 
-    std::shared_ptr<const Bytes> encode(balance::ViewKind kind,
-                                        const balance::ObjectMirror::EventsPtr &events)
+    BytesPtr encode(const balance::ViewRequest &request,
+                    const balance::ObjectMirror::EventsPtr &events)
     {
-        auto &cached = this->events.at(static_cast<std::size_t>(kind));
-        if (cached.answer != events)
-            cached = {events, std::make_shared<const Bytes>(balance::encodeEvents(kind, *events))};
-        return cached.bytes;
+        const auto encodeEvents = [&request](const balance::ViewEvents &answer) {
+            return balance::encodeEvents(request.kind, answer);
+        };
+        return this->events.at(static_cast<std::size_t>(request.kind))
+            .of(events, request.acceptsCompressed, encodeEvents);
     }
 
 private:
@@ -173,9 +199,9 @@
         if (!request)
             return frame ? this->onOutcomes(*frame) : this->refuse();
         const auto respond = [weak = this->weak_from_this(), requestId = frame->requestId,
-                              kind = request->kind](const auto &answer) {
+                              request = *request](const auto &answer) {
             if (const auto self = weak.lock(); self && !self->closed)
-                self->send(requestId, self->server.cache.encode(kind, answer));
+                self->send(requestId, self->server.cache.encode(request, answer));
         };
         if (request->since)
             this->server.mirror.watch(*request, respond);
--- a/src/simulation/SimulatedInstance.cpp
+++ b/src/simulation/SimulatedInstance.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/PacketCodec.h"
 #include "simulation/RemoteCall.h"
+#include "view/ReplyCompression.h"
 #include "view/ViewCodec.h"
 
 #include <utility>
@@ -44,7 +45,7 @@
             this->alive, std::move(handler), [find = this->find, request](auto respond) {
                 onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
                     mirror.list(request, [&mirror, kind = request.kind, respond](const auto &list) {
-                        const Bytes message = balance::encodeList(kind, *list);
+                        const Bytes message = passedOn(balance::encodeList(kind, *list));
                         ViewList reply = balance::decodeList(kind, message).value_or(ViewList{});
                         reply.freshness = mirror.freshness();
                         respond(std::move(reply), message.size());
@@ -64,7 +65,7 @@
                 onPeer(find, [request, respond](balance::ObjectMirror &mirror) {
                     mirror.watch(
                         request, [&mirror, kind = request.kind, respond](const auto &events) {
-                            const Bytes message = balance::encodeEvents(kind, *events);
+                            const Bytes message = passedOn(balance::encodeEvents(kind, *events));
                             ViewEvents reply
                                 = balance::decodeEvents(kind, message).value_or(ViewEvents{});
                             reply.freshness = mirror.freshness();
@@ -92,6 +93,9 @@
         return std::make_shared<AnswerArrivals>(AnswerArrivals{0, true});
     }
 
+    /** \returns the message that is sent for a reply. */
+    static Bytes passedOn(Bytes reply) { return balance::compressReply(reply).value_or(reply); }
+
     /** \brief Runs \a task in the other process; without one, nobody answers. */
     static void onPeer(const Find &find, const std::function<void(balance::ObjectMirror &)> &task)
     {
--- a/src/view.h
+++ b/src/view.h
@@ -11,6 +11,7 @@
 #include "view/MemberSweeper.h"
 #include "view/ObjectMirror.h"
 #include "view/ObjectSource.h"
+#include "view/ReplyCompression.h"
 #include "view/SourcedStore.h"
 #include "view/ViewFollower.h"
 #include "view/ViewRequest.h"
--- a/src/view/ViewCodec.cpp
+++ b/src/view/ViewCodec.cpp
@@ -1,5 +1,6 @@
 #include "view/ViewCodec.h"
 
+#include "view/ReplyCompression.h"
 #include "view/view_generated.h"
 
 #include <algorithm>
@@ -378,7 +379,7 @@
     std::vector<ViewEvent> events;
 };
 
-std::optional<DecodedReply> decodeReply(ViewKind kind, std::span<const std::byte> message)
+std::optional<DecodedReply> decodePlainReply(ViewKind kind, std::span<const std::byte> message)
 {
     const MessageTable<viewwire::Reply> table(message);
     const auto *reply = table.get();
@@ -395,6 +396,14 @@
     return decoded;
 }
 
+std::optional<DecodedReply> decodeReply(ViewKind kind, std::span<const std::byte> message)
+{
+    if (!isCompressedReply(message))
+        return decodePlainReply(kind, message);
+    const auto plain = decompressReply(message);
+    return plain ? decodePlainReply(kind, *plain) : std::nullopt;
+}
+
 } // namespace internal
 
 Bytes encodeRequest(const ViewRequest &request)
@@ -403,7 +412,8 @@
     const StoreRevision since = request.since.value_or(StoreRevision{});
     builder.Finish(viewwire::CreateRequest(
         builder, static_cast<std::uint8_t>(request.kind), request.since.has_value(), since.number,
-        internal::toWireMilliseconds(request.wait), request.direct, 0, since.era));
+        internal::toWireMilliseconds(request.wait), request.direct, 0, since.era,
+        request.acceptsCompressed));
     return internal::bytesOf(builder);
 }
 
@@ -419,6 +429,7 @@
         request.since = StoreRevision{wire->era(), wire->since()};
     request.wait = std::chrono::milliseconds(wire->waitMs());
     request.direct = wire->direct();
+    request.acceptsCompressed = wire->acceptsCompressed();
     return request;
 }
 
--- a/src/view/ViewCodec.h
+++ b/src/view/ViewCodec.h
@@ -14,6 +14,8 @@
 constexpr std::size_t maxViewMessageBytes = 16UL * 1024 * 1024;
 
 /** \brief Encodes messages between instances as FlatBuffers; see view.fbs.
+ *
+ * Replies may be compressed when they are decoded; see ReplyCompression.
  *
  * Decoders return nothing if a message is malformed. Encoders omit malformed objects from lists and
  * send them as removed in watches.
--- a/src/view/ViewRequest.h
+++ b/src/view/ViewRequest.h
@@ -19,6 +19,8 @@
 
     bool direct = false; //!< Only an instance that reads from the store itself may answer.
 
+    bool acceptsCompressed = true; //!< Earlier versions of the program can't read such a reply.
+
     friend bool operator==(const ViewRequest &, const ViewRequest &) = default;
 };
 
--- a/src/view/view_generated.h
+++ b/src/view/view_generated.h
@@ -707,7 +707,8 @@
     VT_WAITMS = 10,
     VT_DIRECT = 12,
     VT_OUTCOMES = 14,
-    VT_ERA = 16
+    VT_ERA = 16,
+    VT_ACCEPTSCOMPRESSED = 18
   };
   uint8_t kind() const {
     return GetField<uint8_t>(VT_KIND, 0);
@@ -730,6 +731,9 @@
   uint64_t era() const {
     return GetField<uint64_t>(VT_ERA, 0);
   }
+  bool acceptsCompressed() const {
+    return GetField<uint8_t>(VT_ACCEPTSCOMPRESSED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -740,6 +744,7 @@
            VerifyOffset(verifier, VT_OUTCOMES) &&
            verifier.VerifyVector(outcomes()) &&
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ACCEPTSCOMPRESSED, 1) &&
            verifier.EndTable();
   }
 };
@@ -769,6 +774,9 @@
   void add_era(uint64_t era) {
     fbb_.AddElement<uint64_t>(Request::VT_ERA, era, 0);
   }
+  void add_acceptsCompressed(bool acceptsCompressed) {
+    fbb_.AddElement<uint8_t>(Request::VT_ACCEPTSCOMPRESSED, static_cast<uint8_t>(acceptsCompressed), 0);
+  }
   explicit RequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -788,12 +796,14 @@
     uint32_t waitMs = 0,
     bool direct = false,
     flatbuffers::Offset<flatbuffers::Vector<const bulrushgap::viewwire::OutcomeReport *>> outcomes = 0,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    bool acceptsCompressed = false) {
   RequestBuilder builder_(_fbb);
   builder_.add_era(era);
   builder_.add_since(since);
   builder_.add_outcomes(outcomes);
   builder_.add_waitMs(waitMs);
+  builder_.add_acceptsCompressed(acceptsCompressed);
   builder_.add_direct(direct);
   builder_.add_watch(watch);
   builder_.add_kind(kind);
@@ -808,7 +818,8 @@
     uint32_t waitMs = 0,
     bool direct = false,
     const std::vector<bulrushgap::viewwire::OutcomeReport> *outcomes = nullptr,
-    uint64_t era = 0) {
+    uint64_t era = 0,
+    bool acceptsCompressed = false) {
   auto outcomes__ = outcomes ? _fbb.CreateVectorOfStructs<bulrushgap::viewwire::OutcomeReport>(*outcomes) : 0;
   return bulrushgap::viewwire::CreateRequest(
       _fbb,
@@ -818,7 +829,8 @@
       waitMs,
       direct,
       outcomes__,
-      era);
+      era,
+      acceptsCompressed);
 }
 
 struct Reply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/tests/CongestedLinks.cpp
+++ b/tests/CongestedLinks.cpp
@@ -16,14 +16,14 @@
 constexpr std::uint64_t congestedMs = 300;
 
 /** \returns a deployment in which an instance gets less than one request a second, and an update of
- * 1,000 upstreams fills the links of most instances. */
+ * 2,000 upstreams of a domain fills the links of most instances. */
 RunSettings manyWeakInstances()
 {
     RunSettings settings;
     settings.domains = {"domain-1", "domain-2", "domain-3"};
     settings.instancesPerDomain = 40;
     settings.instanceLinks = {{3, {200}}, {37, {10}}};
-    settings.services = {{"feed", 1'000, 2, 0.0}};
+    settings.services = {{"feed", 2'000, 2, 0.0}};
     RequestClass read;
     read.name = "read";
     read.route = *Endpoint::parse("198.18.0.1:80");
--- a/tests/SourcedStore.cpp
+++ b/tests/SourcedStore.cpp
@@ -4,14 +4,20 @@
 #include "platform/StoreClient.h"
 #include "role/PeerViewClient.h"
 #include "role/PeerViewServer.h"
+#include "role/ViewFrame.h"
 #include "service/AsioScheduler.h"
+#include "service/FrameReader.h"
 #include "service/HttpServer.h"
 #include "view/ObjectMirror.h"
+#include "view/ReplyCompression.h"
+#include "view/ViewCodec.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -146,6 +152,38 @@
     CHECK(changes.revision == 8);
 }
 
+// Guards against a reader of an earlier version of the program that gets a reply it can't read.
+TEST_CASE("a reply is compressed only for readers that accept it", "[SourcedStore]")
+{
+    const bool accepts = GENERATE(false, true);
+    boost::asio::io_context context;
+    PeerProcess peer(context);
+    for (std::uint64_t number = 1; number <= 200; ++number)
+        peer.add(ViewKind::Upstreams, "i-" + std::to_string(number), number, number == 1);
+    boost::asio::ip::tcp::socket socket(context);
+    socket.connect({boost::asio::ip::address_v4::loopback(), peer.endpoint.port});
+    const ViewRequest request{ViewKind::Upstreams, std::nullopt, {}, false, accepts};
+    const Bytes frame = ViewFrame{1, {}, encodeRequest(request)}.toBytes();
+    boost::asio::write(socket, boost::asio::buffer(frame));
+    FrameReader reader(maxViewMessageBytes);
+    std::optional<Bytes> reply;
+    std::array<std::byte, 16'384> input{};
+    socket.non_blocking(true);
+    REQUIRE(runUntil(context, [&] {
+        boost::system::error_code ignored;
+        const std::size_t size = socket.read_some(boost::asio::buffer(input), ignored);
+        reader.append(std::span<const std::byte>(input).first(size));
+        reply = reader.next();
+        return reply.has_value();
+    }));
+    const auto answer = ViewFrame::parse(*reply);
+    REQUIRE(answer);
+    CHECK(isCompressedReply(answer->message) == accepts);
+    const auto list = decodeList(ViewKind::Upstreams, answer->message);
+    REQUIRE(list);
+    CHECK(list->objects.size() == 200);
+}
+
 // Guards against missed changes: a watch from a revision before the history has to list again.
 TEST_CASE("a watch from before the history ends with Gone", "[SourcedStore]")
 {
--- a/tests/ViewCodec.cpp
+++ b/tests/ViewCodec.cpp
@@ -1,5 +1,7 @@
 #include "view/ViewCodec.h"
 
+#include "view/ReplyCompression.h"
+
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
@@ -220,3 +222,33 @@
     REQUIRE(objects);
     CHECK(objects->objects.size() == 1);
 }
+
+// Guards against a large view that fills a weak link, against a reply that an earlier version of
+// the program can't read, and against a compressed reply that exhausts memory.
+TEST_CASE("long replies are compressed and equal after decompression", "[ViewCodec]")
+{
+    const auto [routes, isShort] = GENERATE(table<std::size_t, bool>({{1, true}, {5'000, false}}));
+    Configuration large = configuration();
+    const Route route = large.routes.front();
+    for (std::size_t number = 1; number < routes; ++number) {
+        large.routes.push_back(route);
+        large.routes.back().name += std::to_string(number);
+    }
+    const ViewObject object = std::make_shared<const Configuration>(large);
+    const Bytes plain = encodeList(ViewKind::Configurations,
+                                   {PlatformResult::Ok, {3, 77}, {{"main", {3, 70}, object}}});
+    const auto packed = compressReply(plain);
+    REQUIRE(packed.has_value() != isShort);
+    if (isShort)
+        return;
+    CHECK(packed->size() * 5 < plain.size());
+    const auto decoded = decodeList(ViewKind::Configurations, *packed);
+    REQUIRE(decoded);
+    REQUIRE(decoded->objects.size() == 1);
+    CHECK(same(decoded->objects[0].value, object));
+    CHECK_FALSE(isCompressedReply(plain));
+    Bytes broken = *packed;
+    broken.resize(broken.size() / 2);
+    CHECK_FALSE(decodeList(ViewKind::Configurations, broken));
+    CHECK_FALSE(decompressReply(compressReply(Bytes(maxViewMessageBytes + 1)).value()));
+}
