--- a/src/role/PeerViewClient.cpp
+++ b/src/role/PeerViewClient.cpp
@@ -30,12 +30,17 @@
     /** Receives the response to a call, or nothing if the connection has failed. */
     using ReplyHandler = std::function<void(const std::optional<ViewFrame> &reply)>;
 
+    enum class CallKind {
+        List, //!< Any received bytes extend its deadline.
+        Watch,
+        Exchange, //!< Of outcomes.
+    };
+
     struct Call
     {
+        CallKind kind;
         ReplyHandler onReply;
-        bool isWatch = false;
-        bool isList = false; //!< Any received bytes extend its deadline.
-        Clock::time_point deadline;
+        Clock::time_point deadline{};
     };
 
     PeerViewConnection(boost::asio::io_context &context, Counters &counters,
@@ -91,7 +96,8 @@
     /** \brief Closes the connection; pending lists fail, handlers of watches are not called. */
     void dropWatches()
     {
-        std::erase_if(this->calls, [](const auto &entry) { return entry.second.isWatch; });
+        std::erase_if(this->calls,
+                      [](const auto &entry) { return entry.second.kind == CallKind::Watch; });
         this->fail();
     }
 
@@ -162,7 +168,7 @@
     void extendDeadlines(bool all)
     {
         for (auto &[requestId, call] : this->calls) {
-            if (all || call.isList)
+            if (all || call.kind == CallKind::List)
                 call.deadline = std::max(call.deadline, this->receivedAt + this->idleTimeout);
         }
     }
@@ -221,6 +227,8 @@
 
 } // namespace internal
 
+using CallKind = internal::PeerViewConnection::CallKind;
+
 PeerReadOptions PeerReadOptions::of(const balance::ViewSource &source)
 {
     return {source.direct, source.mayWait ? internal::listWait : internal::milliseconds(0)};
@@ -270,18 +278,16 @@
     this->counters.add("peer_list");
     const balance::ViewRequest request{kind, std::nullopt, this->options.listWait,
                                        this->options.direct};
-    this->connection().send(balance::encodeRequest(request), this->timeouts.idleTimeout,
-                            {[kind, handler = std::move(handler)](const auto &reply) {
-                                 std::optional<balance::ViewList> list;
-                                 if (reply)
-                                     list = balance::decodeList(kind, reply->message);
-                                 if (list)
-                                     list->freshness = reply->freshness;
-                                 handler(std::move(list).value_or(balance::ViewList{}));
-                             },
-                             false,
-                             true,
-                             {}});
+    this->connection().send(
+        balance::encodeRequest(request), this->timeouts.idleTimeout,
+        {CallKind::List, [kind, handler = std::move(handler)](const auto &reply) {
+             std::optional<balance::ViewList> list;
+             if (reply)
+                 list = balance::decodeList(kind, reply->message);
+             if (list)
+                 list->freshness = reply->freshness;
+             handler(std::move(list).value_or(balance::ViewList{}));
+         }});
 }
 
 void PeerViewClient::watchFor(balance::ViewKind kind, StoreRevision since,
@@ -289,18 +295,16 @@
 {
     this->counters.add("peer_watch");
     const balance::ViewRequest request{kind, since, wait, this->options.direct};
-    this->connection().send(balance::encodeRequest(request), wait + this->timeouts.watchMargin,
-                            {[kind, handler = std::move(handler)](const auto &reply) {
-                                 std::optional<balance::ViewEvents> events;
-                                 if (reply)
-                                     events = balance::decodeEvents(kind, reply->message);
-                                 if (events)
-                                     events->freshness = reply->freshness;
-                                 handler(std::move(events).value_or(balance::ViewEvents{}));
-                             },
-                             true,
-                             false,
-                             {}});
+    this->connection().send(
+        balance::encodeRequest(request), wait + this->timeouts.watchMargin,
+        {CallKind::Watch, [kind, handler = std::move(handler)](const auto &reply) {
+             std::optional<balance::ViewEvents> events;
+             if (reply)
+                 events = balance::decodeEvents(kind, reply->message);
+             if (events)
+                 events->freshness = reply->freshness;
+             handler(std::move(events).value_or(balance::ViewEvents{}));
+         }});
 }
 
 void PeerViewClient::exchange(const balance::OutcomeRequest &request,
@@ -309,15 +313,12 @@
     this->counters.add("peer_outcome");
     this->connection().send(balance::encodeOutcomeRequest(request),
                             request.wait + this->timeouts.idleTimeout,
-                            {[handler = std::move(handler)](const auto &reply) {
+                            {CallKind::Exchange, [handler = std::move(handler)](const auto &reply) {
                                  std::optional<balance::OutcomeReports> reports;
                                  if (reply)
                                      reports = balance::decodeOutcomeReply(reply->message);
                                  handler(reports);
-                             },
-                             false,
-                             false,
-                             {}});
+                             }});
 }
 
 } // namespace bulrushgap
