A configuration read elsewhere is no longer late at the store

Change: an answer of another instance ends the wait for the store's.

Failed before: "a read that went on at another source makes no view old" (age 5.7 s instead of 0).

--- a/src/view/SourcedStore.cpp
+++ b/src/view/SourcedStore.cpp
@@ -303,6 +303,8 @@
 {
     this->direct = source.isStore();
     this->verified = true;
+    if (!source.isStore())
+        this->configurationDueAt.reset();
     const bool changed = this->answeredSource != source;
     this->noteFreshness(source, freshness);
     if (changed)
--- a/tests/SourceChange.cpp
+++ b/tests/SourceChange.cpp
@@ -214,3 +214,23 @@
     reader.storeState.answer(ViewKind::Configurations);
     CHECK(reader.store.age() == 0ms);
 }
+
+// Guards against a view that counts as old since the configuration was once requested from the
+// store and then read from another instance.
+TEST_CASE("a read that went on at another source makes no view old", "[SourceChange]")
+{
+    Reader reader;
+    reader.sources.onSourceFailed(reader.loop.now());
+    reader.watch(ViewKind::Upstreams);
+    reader.storeState.answer(ViewKind::Upstreams);
+    reader.watch(ViewKind::Configurations);
+    reader.loop.runFor(6'100ms);
+    reader.watch(ViewKind::Upstreams);
+    reader.preferredState.answer(ViewKind::Upstreams);
+    reader.preferredState.answer(ViewKind::Configurations);
+    reader.sources.update(std::vector<Member>{reader.self}, reader.loop.now());
+    REQUIRE(reader.sources.followsStore());
+    reader.watch(ViewKind::Upstreams);
+    reader.storeState.answer(ViewKind::Upstreams);
+    CHECK(reader.store.age() == 0ms);
+}
