--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -94,6 +94,7 @@
         self.seen = {}       # server name -> time of its last heartbeat
         self.expiry_s = 3.6
         self.away = False
+        self.deaf = False
         self.calls = 0
 
     async def listen(self, address, port):
@@ -111,6 +112,8 @@
         self.wake()
 
     def wake(self):
+        if self.deaf:
+            return
         for event in list(self.waiters):
             event.set()
 
@@ -179,6 +182,20 @@
             self.seen[name] = now()
         self.wake()
 
+    async def compact(self, host):
+        """Watches hear nothing for a second while a change is made; then the history goes and they are cut."""
+        self.record.add("store: watches hear nothing")
+        self.deaf = True
+        await asyncio.sleep(0.5)
+        host.slots += 1
+        self.heartbeat(host.name, host.spec())
+        await asyncio.sleep(0.5)
+        self.history.clear()
+        self.lost_before = self.revision
+        self.deaf = False
+        self.cut_all()
+        self.record.add("store: the history is dropped")
+
     def cut_all(self):
         for writer in list(self.connections):
             writer.transport.abort()
@@ -272,9 +289,10 @@
             if since > self.revision or since < self.lost_before:
                 return 410, {}
             events = [{"object": h[3], "removed": h[4]}
-                      for h in self.history if h[0] > since and h[2] == kind]
+                      for h in self.history if h[0] > since and h[2] == kind and not self.deaf]
+            as_of = since if self.deaf else self.revision
             if events or now() >= deadline or era != self.era:
-                return 200, {"events": events, "as_of": self.revision}
+                return 200, {"events": events, "as_of": as_of}
             event = asyncio.Event()
             self.waiters.add(event)
             try:
@@ -632,6 +650,9 @@
     def finish(self, outcome):
         if self.done.done():
             return
+        if outcome in ("unopened", "deadline"):
+            self.client.fleet.record.add(f"flow {self.client.name}:{self.sport} ends: {outcome}, "
+                                         f"{self.pending or 'no request'} waits")
         self.state = outcome
         for timer in self.timers:
             timer.cancel()
@@ -687,6 +708,7 @@
                 f"Content-Length: {self.size}\r\n\r\n").encode() + body
         self.unacked = data
         self.tries = 0
+        self.client.fleet.record.add(f"sent {self.pending}")
         self.send(ACK, data=data)
         self.later(0.2, self.resend, self.pending)
         self.later(self.deadline_s, self.expire, self.pending)
@@ -713,6 +735,7 @@
         self.buffer = rest[length:]
         if headers["X-Server-Stamp"] != self.pending:
             self.client.fleet.broke("MIXED", f"{self.pending} gets the answer to {headers['X-Server-Stamp']}")
+        self.client.fleet.record.add(f"answered {self.pending} by {headers['X-Instance-Id']}")
         self.pending = None
         self.answered += 1
         if self.answered >= self.requests:
