--- a/review/standins-3/fleet.py
+++ b/review/standins-3/fleet.py
@@ -277,7 +277,7 @@
         items, size = [], 0
         for name in names:
             size += len(json.dumps(self.kinds[kind][name]))
-            if items and (size > 1_000_000 or len(items) == 500):
+            if items and (size > 1_048_576 or len(items) == 500):
                 break
             items.append(self.kinds[kind][name])
         return {"items": items, "has_more": len(names) > len(items), "as_of": self.revision}
